Ration flows that carry one request each by what the servers can run

Flows were refused by the length of queues, as told half a second ago. Such queues fill and empty within 50 ms, so all instances refused everything and nothing by turns: at 1.2 of the capacity a fifth of the slots stood idle while 5,000 of 15,000 requests were refused. Besides, busy servers seemed up to 1.7 times slower than they are (a wait for a turn counted as work), which made every estimate refuse too much.

Flows with one request each are admitted by what the servers can run in a report's span, the most urgent first; refused flows are told between instances for that. The rule for kept flows is as before, and both are mixed by that share. A busy server counts as slower only if it seems twice as slow.

A load with refused flows has five fields; older instances refuse such a message, so they hear no loads from newer ones while flows are refused.

--- a/core/entry/message_test.go
+++ b/core/entry/message_test.go
@@ -88,7 +88,7 @@
 	c.Run("loads", func(c *qt.C) {
 		update, report := longUpdate(), fleet.Report{From: longInstance(), Revision: math.MaxInt64, Config: math.MaxInt64}
 		update.Loads = repeated(fleet.Load{
-			Cookie: math.MaxUint32, Busy: 1.1, Latency: time.Minute, Answers: 100_000,
+			Cookie: math.MaxUint32, Busy: 1.1, Latency: time.Minute, Answers: 100_000, Refused: 100_000,
 		}, _maxLoads)
 		report.Loads = update.Loads
 		fits(c, update)
--- a/core/entry/spread.go
+++ b/core/entry/spread.go
@@ -297,7 +297,7 @@
 	state.relaying.loads = state.relaying.loads[:0:0]
 	for _, observation := range observations {
 		// A server that has become idle is told of once.
-		if observation.Busy > 0 || observation.Answers > 0 || before[observation.Cookie] {
+		if observation.Busy > 0 || observation.Answers > 0 || observation.Refused > 0 || before[observation.Cookie] {
 			state.relaying.loads = append(state.relaying.loads, fleet.LoadOf(observation))
 		}
 		state.observe(observation)
--- a/core/fleet/averages.go
+++ b/core/fleet/averages.go
@@ -16,6 +16,10 @@
 	_serviceSpread = 10 * time.Second
 	// _serviceWeight is the weight of the newest value in the average.
 	_serviceWeight = 0.5
+	// _crowdedPart is the part of its slots beyond which requests wait at a server now and then, and _crowdedSlower how
+	// many times slower it then seems than it is.
+	_crowdedPart   = 0.6
+	_crowdedSlower = 2
 	// _smoothing is the time constant of the moving average of the requests in progress. Each value is an average over
 	// half a second that holds a few requests and is as old; to follow it at once makes all instances choose the servers
 	// that were idle by chance.
@@ -24,9 +28,6 @@
 	_loadLife = 3 * time.Second
 )
 
-// ReportSpan is the time over which instances count before they report what they saw.
-const ReportSpan = 500 * time.Millisecond
-
 // Averages remembers what was heard of the loads of servers. It is not safe for concurrent use.
 type Averages struct {
 	// Slots returns how many requests a server runs at once.
@@ -44,6 +45,9 @@
 	heard    time.Duration
 	// answered is the number in progress by the requests that were answered and how long that took.
 	answered float64
+	// answers and refused are the numbers of answers and of refused flows, as they were heard last.
+	answers float64
+	refused float64
 	// service is how long the server runs a request, without the wait for its turn, last known at learnt.
 	service time.Duration
 	learnt  time.Duration
@@ -63,26 +67,30 @@
 		}
 		known.smoothed += weight * (known.latest - known.smoothed)
 		known.heard = now
-		known.answered = float64(load.Answers) * float64(load.Latency) / float64(ReportSpan)
+		known.answered = float64(load.Answers) * float64(load.Latency) / float64(steer.ReportSpan)
+		known.answers, known.refused = float64(load.Answers), float64(load.Refused)
 		known.learn(now, load, averages.Slots(load.Cookie))
 		averages.known[load.Cookie] = known
 	}
 }
 
 // learn estimates the time that a request runs from the latency of answers. Under an overload a server rejects requests
+// at once, which looks like speed and is left out; so is the wait for a turn, which looks like a slower server.
 // at once, which looks like speed and is left out.
 func (average *average) learn(now time.Duration, load Load, slots int) {
 	if load.Answers == 0 {
 		return
 	}
 	service := load.Latency
-	crowded := average.latest > float64(slots)
-	if crowded {
+	full := average.latest > float64(slots)
+	if full {
 		service = time.Duration(float64(load.Latency) * float64(slots) / average.latest)
 	}
+	crowded := average.latest > _crowdedPart*float64(slots)
 	fresh := average.service > 0 && now-average.learnt <= _serviceLife
 	switch {
-	case crowded && fresh && service < average.service:
+	case full && fresh && service < average.service:
+	case crowded && fresh && service > average.service && service < _crowdedSlower*average.service:
 	case fresh:
 		average.service = time.Duration(_serviceWeight*float64(service) + (1-_serviceWeight)*float64(average.service))
 	default:
@@ -97,6 +105,7 @@
 	var measure steer.Measure
 	if now-known.heard <= _loadLife {
 		measure.Busy, measure.Latest, measure.Answered = known.smoothed, known.latest, known.answered
+		measure.Answers, measure.Refused = known.answers, known.refused
 	}
 	if now-known.learnt <= averages.serviceLife(cookie) {
 		measure.ServiceTime = known.service
--- a/core/fleet/averages_test.go
+++ b/core/fleet/averages_test.go
@@ -86,6 +86,16 @@
 		averages := averagesOf(loadOf(2, _usual), loadOf(14, _usual))
 		c.Assert(averages.Measure(2*time.Second, 1).ServiceTime, qt.Equals, _usual)
 	})
+	c.Run("do not take the wait for a turn at a busy server for slowness", func(c *qt.C) {
+		averages := averagesOf(loadOf(1, _usual), loadOf(2.5, _usual*3/2), loadOf(2.5, _usual*3/2))
+		c.Assert(averages.Measure(3*time.Second, 1).ServiceTime, qt.Equals, _usual)
+		averages = averagesOf(loadOf(1, _usual), loadOf(1, _usual*3/2))
+		c.Assert(averages.Measure(2*time.Second, 1).ServiceTime, qt.Equals, _usual*5/4)
+	})
+	c.Run("notice that a busy server is faster", func(c *qt.C) {
+		averages := averagesOf(loadOf(1, 2*_usual), loadOf(2.5, _usual))
+		c.Assert(averages.Measure(2*time.Second, 1).ServiceTime, qt.Equals, _usual*3/2)
+	})
 	c.Run("notice that a crowded server is slow", func(c *qt.C) {
 		averages := averagesOf(loadOf(2, _usual), loadOf(6, 10*_usual))
 		c.Assert(averages.Measure(2*time.Second, 1).ServiceTime, qt.Equals, 3*_usual)
--- a/core/fleet/encoding.go
+++ b/core/fleet/encoding.go
@@ -10,15 +10,19 @@
 	"azureshift/core/packet"
 )
 
-// sentLoad is a Load as it is sent. Loads are most of what instances tell each other, and their order depends on no
-// more than a hundredth of a request and a millisecond.
-type sentLoad struct {
-	_          struct{} `cbor:",toarray"`
-	Cookie     packet.Cookie
-	Hundredths uint32
-	Millis     uint32
-	Answers    uint32
-}
+// sentLoad is a Load as it is sent: its fields in the order of the constants below. Loads are most of what instances
+// tell each other, and their order depends on no more than a hundredth of a request and a millisecond. What is zero at
+// the end is left out, and what is there beyond is left to later versions.
+type sentLoad []uint32
+
+// The fields of a sentLoad.
+const (
+	_sentCookie = iota
+	_sentHundredths
+	_sentMillis
+	_sentAnswers
+	_sentRefused
+)
 
 const (
 	_hundredths = 100
@@ -34,12 +38,17 @@
 // MarshalCBOR implements cbor.Marshaler.
 func (load Load) MarshalCBOR() ([]byte, error) {
 	busy := min(max(float64(load.Busy), 0), _mostBusy)
-	raw, err := cbor.Marshal(sentLoad{
-		Cookie:     load.Cookie,
-		Hundredths: uint32(math.Round(busy * _hundredths)),
-		Millis:     uint32(min(max(load.Latency.Round(time.Millisecond).Milliseconds(), 0), math.MaxUint32)),
-		Answers:    uint32(min(max(load.Answers, 0), math.MaxInt32)),
-	})
+	sent := sentLoad{
+		_sentCookie:     uint32(load.Cookie),
+		_sentHundredths: uint32(math.Round(busy * _hundredths)),
+		_sentMillis:     uint32(min(max(load.Latency.Round(time.Millisecond).Milliseconds(), 0), math.MaxUint32)),
+		_sentAnswers:    boundedCount(load.Answers),
+		_sentRefused:    boundedCount(load.Refused),
+	}
+	if load.Refused <= 0 {
+		sent = sent[:_sentRefused]
+	}
+	raw, err := cbor.Marshal(sent)
 	return raw, eris.Wrap(err, "encode a load")
 }
 
@@ -49,11 +58,21 @@
 	if err := cbor.Unmarshal(raw, &sent); err != nil {
 		return eris.Wrap(err, "decode a load")
 	}
+	if len(sent) < _sentRefused {
+		return eris.Errorf("a load has %d fields, fewer than %d", len(sent), _sentRefused)
+	}
 	*load = Load{
-		Cookie:  sent.Cookie,
-		Busy:    float32(sent.Hundredths) / _hundredths,
-		Latency: time.Duration(sent.Millis) * time.Millisecond,
-		Answers: int(min(sent.Answers, math.MaxInt32)),
+		Cookie:  packet.Cookie(sent[_sentCookie]),
+		Busy:    float32(sent[_sentHundredths]) / _hundredths,
+		Latency: time.Duration(sent[_sentMillis]) * time.Millisecond,
+		Answers: int(min(sent[_sentAnswers], math.MaxInt32)),
+	}
+	if len(sent) > _sentRefused {
+		load.Refused = int(min(sent[_sentRefused], math.MaxInt32))
 	}
 	return nil
 }
+
+func boundedCount(count int) uint32 {
+	return uint32(min(max(count, 0), math.MaxInt32))
+}
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -53,6 +53,8 @@
 	Latency time.Duration
 	// Answers is the number of answers that Latency is the average of.
 	Answers int
+	// Refused is the number of flows that were refused under overload and would have gone to the server.
+	Refused int
 }
 
 // Report is what an instance tells the one that it gets its updates from. Its loads include what others reported to it.
@@ -95,6 +97,7 @@
 		Busy:    float32(observation.Busy),
 		Latency: observation.Latency,
 		Answers: observation.Answers,
+		Refused: observation.Refused,
 	}
 }
 
@@ -106,6 +109,7 @@
 		load.Latency = total / time.Duration(answers)
 	}
 	load.Answers = answers
+	load.Refused += other.Refused
 	load.Busy += other.Busy
 	return load
 }
--- a/core/steer/estimate.go
+++ b/core/steer/estimate.go
@@ -68,29 +68,47 @@
 	return time.Duration(float64(service) * max(turns, 1))
 }
 
-// expectedOfAll estimates how long a new request takes at the usual servers of a service, if they share what is in
-// progress. The sum of the latest reports varies little, so that it need not be smoothed. Whenever routers change
-// where they send flows, requests stay in progress at instances that never see their answers; so no more counts than
-// the answered requests show, and as much more as this instance has in progress since.
-func (steering *Steering) expectedOfAll(pool *Pool) time.Duration {
-	var used, answered, capacity float64
+// summary is what is known of the usual servers of a service together.
+type summary struct {
+	// capacity is the number of requests that they run at once, and inProgress the number that they run or hold.
+	capacity   float64
+	inProgress float64
+	// answers and refused are the numbers of answers and of refused flows in the last report of all servers.
+	answers float64
+	refused float64
+}
+
+// expected estimates how long a new request takes if the servers share what is in progress.
+func (summary summary) expected(typical time.Duration) time.Duration {
+	if summary.capacity == 0 {
+		return 0
+	}
+	return time.Duration(float64(typical) * max(summary.inProgress/summary.capacity, 1))
+}
+
+// summarize sums up what is known of the servers of a service. The sum of the latest reports varies little, so that it
+// need not be smoothed. Whenever routers change where they send flows, requests stay in progress at instances that
+// never see their answers; so no more counts than the answered requests show, and as much more as this instance has in
+// progress since.
+func (steering *Steering) summarize(pool *Pool) summary {
+	var known summary
+	var answered float64
 	for _, zone := range pool.Zones {
 		for _, server := range zone.Servers {
+			measure := steering.table.Measure(server)
+			known.answers += measure.Answers
+			known.refused += measure.Refused
 			if !steering.slow(pool, server) {
-				measure := steering.table.Measure(server)
-				used += steering.withOwn(server, measure.Latest)
+				known.inProgress += steering.withOwn(server, measure.Latest)
 				answered += measure.Answered
-				capacity += server.capacity()
+				known.capacity += server.capacity()
 			}
 		}
 	}
-	if capacity == 0 {
-		return 0
-	}
 	if answered > 0 {
-		used = min(used, answered*steering.growth())
+		known.inProgress = min(known.inProgress, answered*steering.growth())
 	}
-	return time.Duration(float64(steering.table.Typical(pool)) * max(used/capacity, 1))
+	return known
 }
 
 // utilisation returns the part of what the usual servers of a failure domain can run that is in progress there.
--- a/core/steer/flow.go
+++ b/core/steer/flow.go
@@ -48,6 +48,8 @@
 	placed   int
 	lately   float64
 	placedAt time.Duration
+	// refused is the number of flows since the last report that were refused and would have gone to the server.
+	refused int
 	// answers is the number of answers since the last report, with the sum of their latencies.
 	answers int
 	latency time.Duration
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -23,8 +23,8 @@
 	_admittedStep  = 0.1
 	_admittedLeast = 0.5
 	// _shedFrom and _shedAll are the expected times, as parts of what is admitted, between which a growing share of new
-	// flows is refused. Refusing all or none from one moment to the next would fill and empty the servers by turns, as
-	// what an instance knows is half a second old.
+	// flows that are kept for many requests is refused. Refusing all or none from one moment to the next would fill and
+	// empty the servers by turns, as what an instance knows is half a second old.
 	_shedFrom = 0.6
 	_shedAll  = 1.1
 	// _room is the part of what is admitted up to which a server takes new flows however busy the others are.
@@ -55,7 +55,11 @@
 		}
 	}
 	if limit > 0 {
-		if expected, refused := steering.shed(pool, server, limit, hash); refused {
+		if header.Acknowledged == 0 {
+			steering.demandOf(pool.Service).offer(now, configured.Priority)
+		}
+		if expected, refused := steering.shed(configured, pool, server, limit, hash); refused {
+			steering.load(server.Cookie, now).refused++
 			return Decision{
 				Verdict: Reset, Reason: Overloaded, Server: server, Expected: expected, Admitted: limit,
 			}
@@ -77,14 +81,25 @@
 // share is refused, so that the servers stay busy while their queues stay short. The share of a flow is decided by its
 // hash; each attempt has another one.
 func (steering *Steering) shed(
-	pool *Pool, server *Server, limit time.Duration, hash uint64,
+	configured *route.Route, pool *Pool, server *Server, limit time.Duration, hash uint64,
 ) (expected time.Duration, refused bool) {
 	if float64(steering.expected(pool, server)) <= _room*float64(limit) {
 		return 0, false
 	}
-	expected = steering.expectedOfAll(pool)
-	load := float64(expected) / float64(limit)
-	return expected, share(hash, _shedSalt) < (load-_shedFrom)/(_shedAll-_shedFrom)
+	known := steering.summarize(pool)
+	typical := steering.table.Typical(pool)
+	expected = known.expected(typical)
+	demand := steering.demandOf(pool.Service)
+	ofKept := (float64(expected)/float64(limit) - _shedFrom) / (_shedAll - _shedFrom)
+	ofSingle := 1 - demand.portion(configured.Priority, demand.admit(known, typical, limit))
+	single := demand.single()
+	part := single*clamp(ofSingle) + (1-single)*clamp(ofKept)
+	return expected, share(hash, _shedSalt) < part
+}
+
+// clamp returns a share, which is from 0 to 1.
+func clamp(share float64) float64 {
+	return min(max(share, 0), 1)
 }
 
 // pick chooses a service by weight; all instances pick the same one for a flow. A service without servers leaves its
--- a/core/steer/place_test.go
+++ b/core/steer/place_test.go
@@ -106,6 +106,14 @@
 		busy := slowed(1, "a", 15, usual)
 		assertDecision(c, with(tableOf(busy)).Packet(0, syn(1, _feeds, 0)), Reset, Overloaded)
 	})
+	c.Run("reports what was refused", func(c *qt.C) {
+		steering := with(tableOf(slowed(1, "a", 15, usual)))
+		steering.Packet(0, syn(1, _feeds, 0))
+		observations := steering.Report(ReportSpan)
+		c.Assert(observations, qt.HasLen, 1)
+		c.Assert(observations[0].Refused, qt.Equals, 1)
+		c.Assert(steering.Report(2 * ReportSpan)[0].Refused, qt.Equals, 0)
+	})
 	c.Run("says what a refusal was decided by", func(c *qt.C) {
 		decision := with(tableOf(slowed(1, "a", 15, usual))).Packet(0, syn(1, _feeds, 0))
 		c.Assert(decision.Expected, qt.Equals, 5*usual)
--- a/core/steer/report.go
+++ b/core/steer/report.go
@@ -8,6 +8,9 @@
 	"azureshift/core/packet"
 )
 
+// ReportSpan is the time over which instances count before they report what they saw.
+const ReportSpan = 500 * time.Millisecond
+
 // Observation is what an instance saw of one backend server since its last report.
 type Observation struct {
 	Cookie packet.Cookie
@@ -15,6 +18,8 @@
 	Busy float64
 	// Placed is the number of flows opened.
 	Placed int
+	// Refused is the number of flows that were refused under overload and would have gone to the server.
+	Refused int
 	// Answers is the number of answers that began, and Latency their average time to the first byte.
 	Answers int
 	Latency time.Duration
@@ -38,6 +43,7 @@
 			Cookie:  cookie,
 			Busy:    float64(load.busy) / float64(span),
 			Placed:  load.placed,
+			Refused: load.refused,
 			Answers: load.answers,
 			Quiet:   now - load.progressed,
 			Stalls:  load.stalls,
@@ -47,8 +53,12 @@
 		if load.answers > 0 {
 			observation.Latency = load.latency / time.Duration(load.answers)
 		}
-		load.busy, load.placed, load.answers, load.latency = 0, 0, 0, 0
-		if _, known := steering.table.Servers[cookie]; !known && load.waiting == 0 && load.opening == 0 {
+		server, isKnown := steering.table.Servers[cookie]
+		if isKnown {
+			steering.demandOf(server.Service).count(now, load)
+		}
+		load.busy, load.placed, load.refused, load.answers, load.latency = 0, 0, 0, 0, 0
+		if !isKnown && load.waiting == 0 && load.opening == 0 {
 			delete(steering.loads, cookie)
 			continue
 		}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"azureshift/core/id"
 	"azureshift/core/packet"
 	"azureshift/core/route"
 )
@@ -126,6 +127,8 @@
 	table *Table
 	flows map[packet.Flow]*flow
 	loads map[packet.Cookie]*load
+	// demands holds what was seen of the requests of each service.
+	demands map[id.Service]*demand
 	// reported is when the last report was made, and reportedAll the number of requests in progress that it said.
 	reported    time.Duration
 	reportedAll float64
@@ -136,9 +139,10 @@
 // New returns the state of an instance that has seen no traffic.
 func New() *Steering {
 	return &Steering{
-		table: &Table{},
-		flows: make(map[packet.Flow]*flow),
-		loads: make(map[packet.Cookie]*load),
+		table:   &Table{},
+		flows:   make(map[packet.Flow]*flow),
+		loads:   make(map[packet.Cookie]*load),
+		demands: make(map[id.Service]*demand),
 	}
 }
 
@@ -329,6 +333,16 @@
 	return found
 }
 
+// demandOf returns what was seen of the requests of a service.
+func (steering *Steering) demandOf(service id.Service) *demand {
+	found, ok := steering.demands[service]
+	if !ok {
+		found = &demand{}
+		steering.demands[service] = found
+	}
+	return found
+}
+
 // forget drops a flow; a request in progress no longer counts.
 func (steering *Steering) forget(now time.Duration, name packet.Flow) {
 	known, ok := steering.flows[name]
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -78,6 +78,9 @@
 	Answered float64
 	// ServiceTime is how long the server runs a request, without the wait for its turn; zero if unknown.
 	ServiceTime time.Duration
+	// Answers and Refused are the numbers of answers, and of flows refused under overload, in the last report.
+	Answers float64
+	Refused float64
 }
 
 // Pool holds the backend servers of a service that take new flows.
--- a/entry/control.go
+++ b/entry/control.go
@@ -5,8 +5,8 @@
 	"time"
 
 	core "azureshift/core/entry"
-	"azureshift/core/fleet"
 	"azureshift/core/packet"
+	"azureshift/core/steer"
 	"azureshift/event"
 	"azureshift/io/relay"
 )
@@ -46,7 +46,7 @@
 		case <-ticker.C:
 			now := daemon.clock.now()
 			daemon.noticeSuspension(now)
-			if now-observed >= fleet.ReportSpan {
+			if now-observed >= steer.ReportSpan {
 				observed = now
 				daemon.reduce(core.Observed{At: now, Observations: daemon.observe(now)})
 			}
--- a/experiment/load/load_test.go
+++ b/experiment/load/load_test.go
@@ -141,6 +141,23 @@
 		qt.Commentf("%.4f in time, %.4f with all loads", windowed.Share(), whole.Share()))
 }
 
+// TestOverloadOfShortFlows replays loads beyond what the servers can run with a flow for each request.
+func TestOverloadOfShortFlows(t *testing.T) {
+	c := qt.New(t)
+	peak := Run(ofShortFlows(), Steered, Overload(0.9))
+	for _, factor := range []float64{1.2, 2, 4} {
+		result := Run(ofShortFlows(), Steered, Overload(factor))
+		c.Check(float64(result.InTime) >= _goodput*float64(peak.InTime), qt.IsTrue,
+			qt.Commentf("factor %g: %d in time, %d at 90 %%", factor, result.InTime, peak.InTime))
+	}
+	c.Run("leaves urgent requests their place", func(c *qt.C) {
+		result := Run(ofShortFlows(), Steered, Overload(2))
+		urgent := result.kinds["sleeve-order"].share()
+		other := result.kinds["stock-feed"].share()
+		c.Assert(urgent > 2*other, qt.IsTrue, qt.Commentf("%.3f of orders and %.3f of feeds in time", urgent, other))
+	})
+}
+
 func TestOverload(t *testing.T) {
 	c := qt.New(t)
 	peak := Run(short(), Steered, Overload(0.9))
