Serve views of a few changes without a limit, and measure less often where servers are many

Ruled out: more views at a time, as two full listings fill a link of 10 Mbit/s for a second; renewing measures of changed servers alone, as loads and their ages change for all servers alike.

Change: the limit counts large views only, before they are collected where everything is asked for. The pause between two tables that differ in measures grows by 70 us for each server, from 250 ms up to 1.2 s.

--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -16,8 +16,20 @@
 	"azureshift/core/target"
 )
 
-// _publishPause is the least time between two tables that differ only in what is measured.
-const _publishPause = 250 * time.Millisecond
+const (
+	// _publishPause is the least time between two tables that differ only in what is measured.
+	_publishPause = 250 * time.Millisecond
+	// _measurePause is what each server adds to it: to measure one takes up to a microsecond, and measures shall take no
+	// more than 1.5 % of a core. Of so many servers an instance hears each load only every few seconds.
+	_measurePause = 70 * time.Microsecond
+	// _publishMost keeps the table's age far below that at which a missing route is no longer taken for certain.
+	_publishMost = 1200 * time.Millisecond
+)
+
+// publishPause returns the least time between two tables of a number of servers that differ only in what is measured.
+func publishPause(servers int) time.Duration {
+	return min(max(_publishPause, time.Duration(servers)*_measurePause), _publishMost)
+}
 
 // tables is what the traffic thread was last told.
 type tables struct {
@@ -66,7 +78,7 @@
 	tables := &state.tables
 	settled := state.settled()
 	rebuild := tables.built == nil || tables.changed || settled != tables.built.Settled || state.now >= tables.until
-	due := tables.confirmed && state.now-tables.published >= _publishPause
+	due := tables.confirmed && state.now-tables.published >= publishPause(len(tables.cookies))
 	if !rebuild && !due {
 		return
 	}
--- /dev/null
+++ b/core/fleet/bench_test.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"azureshift/core/id"
+	"azureshift/core/packet"
+	"azureshift/core/steer"
+	"azureshift/core/target"
+)
+
+// BenchmarkMeasures makes the measures of all servers of a table anew, as an instance does some times a second.
+func BenchmarkMeasures(b *testing.B) {
+	for _, servers := range []int{150, 4_000, 16_000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			const services = 150
+			table, loads := &steer.Table{}, make([]Load, servers)
+			for number := range servers {
+				server := &steer.Server{
+					Target: target.Target{Service: id.Service(fmt.Sprint(number % services)), Slots: 2},
+					Cookie: packet.Cookie(number + 1), Condition: steer.Usable, Warm: true,
+				}
+				table.Add(server)
+				table.Offer(server)
+				loads[number] = Load{Cookie: server.Cookie, Busy: 1, Latency: 40 * time.Millisecond, Answers: 10}
+			}
+			averages := Averages{Slots: func(packet.Cookie) int { return 2 }}
+			averages.Hear(time.Second, loads)
+			var typicals steer.Typicals
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Measured(time.Second, &typicals, func(server *steer.Server) steer.Measure {
+					return averages.Measure(time.Second, server.Cookie)
+				})
+			}
+		})
+	}
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -32,7 +32,7 @@
 	// _logPeriod and _logBurst bound the lines of events that traffic causes.
 	_logPeriod = time.Second
 	_logBurst  = 50
-	// _views is the number of views that are sent at a time. A view can fill a small link for a tenth of a second, and
+	// _views is the number of large views that are sent at a time. Such a view can fill a small link for a tenth of a second, and
 	// packets of clients need it too; who is turned away asks the store.
 	_views = 2
 	// _millicores is the number of parts in which the share of a processor is told to other instances.
@@ -65,10 +65,8 @@
 	// informed is closed when the instance knows where to send packets.
 	informed   chan struct{}
 	informOnce sync.Once
-	// views bounds the number of views that are sent at a time.
-	views chan struct{}
-	store *platform.Store
-	peers *relay.Client
+	store      *platform.Store
+	peers      *relay.Client
 
 	packets *net.UDPConn
 	control *net.UDPConn
@@ -113,7 +111,6 @@
 		events:   make(chan core.Event, _eventQueue),
 		queries:  make(chan query),
 		informed: make(chan struct{}),
-		views:    make(chan struct{}, _views),
 		store:    platform.NewStore(config.Settings.Store.Address.String()),
 		peers:    relay.NewClient(),
 		steering: steer.New(),
--- a/entry/pages.go
+++ b/entry/pages.go
@@ -28,7 +28,7 @@
 		pages.Go(func() { daemon.servePage(ctx, address, handler) })
 	}
 	serve(daemon.settings.Readiness.Listen, platform.ReadinessHandler(daemon.ready.Load))
-	serve(daemon.settings.Relay.Listen, daemon.limitViews(relay.Handler(daemon.view)))
+	serve(daemon.settings.Relay.Listen, relay.Handler(relay.HandlerConfig{View: daemon.view, Transfers: _views}))
 	if daemon.settings.Metrics.Listen.IsValid() {
 		serve(daemon.settings.Metrics.Listen, daemon.metrics.handler())
 	}
@@ -46,19 +46,6 @@
 	}
 }
 
-// limitViews turns requests away while enough others are answered.
-func (daemon *Daemon) limitViews(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		select {
-		case daemon.views <- struct{}{}:
-			defer func() { <-daemon.views }()
-			handler.ServeHTTP(writer, request)
-		default:
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-}
-
 // view returns what the control state knows beyond what another instance has.
 func (daemon *Daemon) view(ctx context.Context, known core.Known) (core.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, _viewWait)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -103,11 +103,53 @@
 
 // begin serves a view and returns its address.
 func begin(c *qt.C, answer func(context.Context, entry.Known) (entry.View, error)) netip.AddrPort {
-	server := httptest.NewServer(Handler(answer))
+	server := httptest.NewServer(Handler(HandlerConfig{View: answer, Transfers: _transfers}))
 	c.Cleanup(server.Close)
 	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 }
 
+// _transfers is the number of large views that the tested instance sends at a time.
+const _transfers = 2
+
+// TestCrowdOfViews replays that many instances ask at once, as when a failure domain starts.
+func TestCrowdOfViews(t *testing.T) {
+	c := qt.New(t)
+	large := view()
+	large.Entries = make([]catalog.Entry, _smallView+1)
+	for _, test := range []struct {
+		name           string
+		query          string
+		view           entry.View
+		idle, occupied int
+	}{
+		{"changes are served to all", "?Revision=5", view(), http.StatusOK, http.StatusOK},
+		{"many changes are not", "?Revision=5", large, http.StatusOK, http.StatusServiceUnavailable},
+		{"everything is not", "", view(), http.StatusOK, http.StatusServiceUnavailable},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			handler := viewHandler{
+				HandlerConfig: HandlerConfig{
+					View: func(context.Context, entry.Known) (entry.View, error) { return test.view, nil },
+				},
+				transfers: make(chan struct{}, _transfers),
+			}
+			for range 2 * _transfers {
+				c.Assert(statusOf(handler, test.query), qt.Equals, test.idle)
+			}
+			for range _transfers {
+				c.Assert(handler.begin(), qt.IsTrue)
+			}
+			c.Assert(statusOf(handler, test.query), qt.Equals, test.occupied)
+		})
+	}
+}
+
+func statusOf(handler http.Handler, query string) int {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, _viewPath+query, nil))
+	return recorder.Code
+}
+
 func TestViews(t *testing.T) {
 	c := qt.New(t)
 	c.Run("are fetched whole", func(c *qt.C) {
--- a/io/relay/view.go
+++ b/io/relay/view.go
@@ -26,6 +26,8 @@
 	// _viewTimeout bounds a transfer of some hundred kilobytes over a link of 10 Mbit/s.
 	_viewTimeout = time.Second
 	_dialTimeout = 300 * time.Millisecond
+	// _smallView is the number of entries and routes up to which a view fits into some ten packets.
+	_smallView = 64
 	// _maxView bounds a view in bytes.
 	_maxView = 16 << 20
 )
@@ -70,29 +72,81 @@
 	return view, eris.Wrapf(cbor.Unmarshal(raw, &view), "decode the view of %s", from)
 }
 
-// Handler serves the view of this instance.
-func Handler(view func(ctx context.Context, known entry.Known) (entry.View, error)) http.Handler {
+// HandlerConfig describes how an instance serves its view.
+type HandlerConfig struct {
+	// View returns what the instance knows beyond what another one has.
+	View func(ctx context.Context, known entry.Known) (entry.View, error)
+	// Transfers is the number of large views that are sent at a time; who asks for another one is turned away.
+	Transfers int
+}
+
+// Handler serves the view of this instance. Views of a few changes are always served: they cost little, and who waits
+// for one is late with news.
+func Handler(config HandlerConfig) http.Handler {
+	handler := viewHandler{HandlerConfig: config, transfers: make(chan struct{}, config.Transfers)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+_viewPath, func(writer http.ResponseWriter, request *http.Request) {
-		known, err := knownOf(request)
-		if err != nil {
-			http.Error(writer, err.Error(), http.StatusBadRequest)
-			return
-		}
-		current, err := view(request.Context(), known)
-		if err != nil || current.Revision == 0 {
+	mux.Handle("GET "+_viewPath, handler)
+	return mux
+}
+
+type viewHandler struct {
+	HandlerConfig
+
+	transfers chan struct{}
+}
+
+var _ http.Handler = viewHandler{}
+
+// ServeHTTP implements http.Handler.
+func (handler viewHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	known, err := knownOf(request)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	begun := known.Revision == 0
+	if begun && !handler.begin() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if begun {
+		defer handler.end()
+	}
+	view, err := handler.View(request.Context(), known)
+	if err != nil || view.Revision == 0 {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !begun && isLarge(view) {
+		if !handler.begin() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		raw, err := cbor.Marshal(current)
-		if err != nil {
-			writer.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		// The client is gone if this fails, and asks again.
-		_, _ = writer.Write(raw)
-	})
-	return mux
+		defer handler.end()
+	}
+	raw, err := cbor.Marshal(view)
+	if err != nil {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// The client is gone if this fails, and asks again.
+	_, _ = writer.Write(raw)
+}
+
+// begin reports whether another large view may be sent now; end says that it was.
+func (handler viewHandler) begin() bool {
+	select {
+	case handler.transfers <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (handler viewHandler) end() { <-handler.transfers }
+
+func isLarge(view entry.View) bool {
+	return len(view.Entries)+len(view.Config.Routes) > _smallView
 }
 
 // knownOf returns what an asking instance has. Parameters that are left out stand for nothing.
