--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -30,6 +30,7 @@
 	flags.IntVar(&config.Targets, "targets", _soakTargets, "backend servers in each failure domain")
 	known := strings.Join(soak.FaultNames(), ", ")
 	faults := flags.String("faults", "", "faults to inject, separated by commas, of "+known+"; empty for all")
+	flags.BoolVar(&config.Keep, "keep", false, "keep the logs of seeds that broke no promise too")
 	quiet := flags.Bool("quiet", false, "print reports only, not each fault")
 	if err := cli.ParseFlags(flags, args, 0, 0); err != nil {
 		return err
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -32,8 +32,8 @@
 	// _logPeriod and _logBurst bound the lines of events that traffic causes.
 	_logPeriod = time.Second
 	_logBurst  = 50
-	// _views is the number of large views that are sent at a time. Such a view can fill a small link for a tenth of a second, and
-	// packets of clients need it too; who is turned away asks the store.
+	// _views is the number of large views that are sent at a time. Such a view can fill a small link for a tenth of a
+	// second, and packets of clients need it too; who is turned away asks the store.
 	_views = 2
 	// _millicores is the number of parts in which the share of a processor is told to other instances.
 	_millicores = 1000
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,8 +20,13 @@
 	begin func(soak *soak, random *rand.Rand) func()
 }
 
-// _drainFor is how long a server serves on after it has said that it leaves.
-const _drainFor = 3 * time.Second
+const (
+	// _drainFor is how long a server serves on after it has said that it leaves.
+	_drainFor = 3 * time.Second
+	// _clockStep is how far a server's time of day is off after a step: over forty minutes, as clocks step on the
+	// platform.
+	_clockStep = 2500 * time.Second
+)
 
 func faults() []fault {
 	return []fault{
@@ -44,7 +49,9 @@
 		{"StoreConnectionsSilent", networkFault(proxy.Fault{Silenced: true})},
 		{"StoreFar", networkFault(proxy.Fault{Delay: 150 * time.Millisecond})},
 		{"CrashTarget", crashTarget},
-		{"RestartTarget", restartTarget},
+		{"RestartTarget", restartTarget(0)},
+		{"RestartTargetClockBack", restartTarget(-_clockStep)},
+		{"RestartTargetClockAhead", restartTarget(_clockStep)},
 		{"ReplaceTarget", replaceTarget},
 		{"DrainTarget", drainTarget},
 		{"CutTarget", cutTarget(proxy.Fault{CutThere: true, CutBack: true})},
@@ -271,20 +278,22 @@
 	soak.release(server)
 }
 
-// restartTarget lets a server crash and come back under its id.
-func restartTarget(soak *soak, random *rand.Rand) func() {
-	server := soak.target(random)
-	if server == nil {
-		return nil
-	}
-	healed := soak.facts.disturb(server.ID())
-	server.Crash()
-	soak.bed.Forget(server)
-	return func() {
-		if _, err := soak.bed.Restart(server); err == nil {
-			healed()
+// restartTarget lets a server crash and come back under its id, with its time of day ahead of true time.
+func restartTarget(ahead time.Duration) func(soak *soak, random *rand.Rand) func() {
+	return func(soak *soak, random *rand.Rand) func() {
+		server := soak.target(random)
+		if server == nil {
+			return nil
+		}
+		healed := soak.facts.disturb(server.ID())
+		server.Crash()
+		soak.bed.Forget(server)
+		return func() {
+			if _, err := soak.bed.Restart(server, ahead); err == nil {
+				healed()
+			}
+			soak.release(server)
 		}
-		soak.release(server)
 	}
 }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -19,7 +19,8 @@
 
 // Report is what a soak found.
 type Report struct {
-	Seed   uint64
+	Seed uint64
+	// Logs is the file with the logs of all instances, if it was kept.
 	Logs   string
 	Faults []string
 	// Counts is the number of tries of requests by their outcome.
@@ -36,7 +37,7 @@
 	for _, broken := range report.Broken {
 		_, _ = fmt.Fprintln(output, "  ", broken)
 	}
-	if len(report.Broken) > 0 {
+	if report.Logs != "" {
 		_, _ = fmt.Fprintln(output, "   logs:", report.Logs)
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,8 @@
 	Programs  testbed.Programs
 	// Faults names the faults that are injected; empty for all.
 	Faults []string
+	// Keep keeps the logs of runs that broke no promise too.
+	Keep bool
 	// Progress gets a line for each fault; nil for none.
 	Progress io.Writer
 }
@@ -165,5 +167,10 @@
 	report := Report{Seed: soak.config.Seed, Logs: soak.logs, Faults: soak.names}
 	report.count(events)
 	soak.judge(&report, events, healed)
+	if !soak.config.Keep && len(report.Broken) == 0 {
+		// A file that is left over costs nothing but its space.
+		_ = os.Remove(soak.logs)
+		report.Logs = ""
+	}
 	return report
 }
--- a/standin/flows/target.go
+++ b/standin/flows/target.go
@@ -36,6 +36,8 @@
 	// Slots is how many requests run at once, and Work how long each takes.
 	Slots int
 	Work  time.Duration
+	// ClockAhead is how far the server's time of day is ahead of true time; negative if it is behind.
+	ClockAhead time.Duration
 	// Registry is where the server registers itself.
 	Registry Registry
 	// Ran hears of every request that begins to run; it may be nil.
@@ -89,7 +91,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	target := &Target{
-		config: config, born: time.Now(), socket: socket, stop: stop,
+		config: config, born: time.Now().Add(config.ClockAhead), socket: socket, stop: stop,
 		conns: make(map[packet.Flow]*conn), offers: make(map[packet.Flow]uint32),
 		slots: make(chan struct{}, config.Slots),
 	}
--- a/testbed/testbed.go
+++ b/testbed/testbed.go
@@ -399,9 +399,12 @@
 	_firstNumber = 0x1000
 )
 
-// Restart starts a server again that has crashed, under its old id.
-func (testbed *Testbed) Restart(server *Server) (*Server, error) {
-	return testbed.startTarget(server.domain, server.number, server.config)
+// Restart starts a server again that has crashed, under its old id, with a time of day that is ahead of true time by a
+// span or, if that is negative, behind.
+func (testbed *Testbed) Restart(server *Server, ahead time.Duration) (*Server, error) {
+	config := server.config
+	config.ClockAhead = ahead
+	return testbed.startTarget(server.domain, server.number, config)
 }
 
 func (testbed *Testbed) startTarget(domain, number int, config flows.TargetConfig) (*Server, error) {
--- a/testbed/testbed_test.go
+++ b/testbed/testbed_test.go
@@ -151,7 +151,7 @@
 		}
 	})
 	c.Run("that come back under their old id serve new flows", func(c *qt.C) {
-		back, err := testbed.Restart(testbed.Targets()[1])
+		back, err := testbed.Restart(testbed.Targets()[1], 0)
 		c.Assert(err, qt.IsNil)
 		c.Assert(eventually(3*time.Second, func() bool {
 			flow, err := client.Open(Feeds)
--- a/tour/steps.go
+++ b/tour/steps.go
@@ -182,7 +182,7 @@
 // End implements Step.
 func (step *crash) End(bed *testbed.Testbed) error {
 	bed.Forget(step.crashed)
-	_, err := bed.Restart(step.crashed)
+	_, err := bed.Restart(step.crashed, 0)
 	return err
 }
 
