--- a/cmd/azureshift-entry/command/command.go
+++ b/cmd/azureshift-entry/command/command.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -20,12 +19,6 @@
 	"azureshift/version"
 )
 
-const (
-	_exitOK = iota
-	_exitFailure
-	_exitUsage
-)
-
 const (
 	// SettingsVariable is the environment variable with the path of the settings file.
 	SettingsVariable = "AZURESHIFT_SETTINGS"
@@ -37,21 +30,7 @@
 
 // Run carries out the command line and returns the exit status.
 func Run(args []string, stdout, stderr io.Writer) int {
-	err := Entry(args, stdout, stderr)
-	var wrong *cli.UsageError
-	switch {
-	case err == nil:
-		return _exitOK
-	case errors.As(err, &wrong):
-		wrong.Tell(stderr)
-		return _exitUsage
-	case errors.Is(err, flag.ErrHelp):
-		return _exitUsage
-	default:
-		// There is nobody to tell if the standard error is closed.
-		_, _ = fmt.Fprintln(stderr, "azureshift:", err)
-		return _exitFailure
-	}
+	return cli.Status(Entry(args, stdout, stderr), stderr)
 }
 
 // Entry runs an entry instance as the command line says.
--- a/cmd/azureshift-entry/command/command_test.go
+++ b/cmd/azureshift-entry/command/command_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"azureshift/cli"
 )
 
 const _settings = `{
@@ -28,12 +30,12 @@
 	c := qt.New(t)
 	c.Run("checks valid settings", func(c *qt.C) {
 		status, stdout, _ := runWith(c, _settings, "-check")
-		c.Assert(status, qt.Equals, _exitOK)
+		c.Assert(status, qt.Equals, cli.ExitOK)
 		c.Assert(stdout, qt.Contains, "settings of morbegno-1 are valid")
 	})
 	c.Run("names every fault of settings with its remedy", func(c *qt.C) {
 		status, _, stderr := runWith(c, `{"Instance": "Upper", "Surprise": 1}`, "-check")
-		c.Assert(status, qt.Equals, _exitUsage)
+		c.Assert(status, qt.Equals, cli.ExitUsage)
 		for _, part := range []string{
 			"Surprise: there is no such field", "Instance: \"Upper\"", "Packets.Listen:", "Store.Address:",
 		} {
@@ -42,16 +44,16 @@
 	})
 	c.Run("says how to name the settings file", func(c *qt.C) {
 		var stdout, stderr bytes.Buffer
-		c.Assert(Run([]string{"-settings", "/nonexistent"}, &stdout, &stderr), qt.Equals, _exitUsage)
+		c.Assert(Run([]string{"-settings", "/nonexistent"}, &stdout, &stderr), qt.Equals, cli.ExitUsage)
 		c.Assert(stderr.String(), qt.Contains, SettingsVariable)
 	})
 	c.Run("refuses unknown flags", func(c *qt.C) {
 		var stdout, stderr bytes.Buffer
-		c.Assert(Run([]string{"-surprise"}, &stdout, &stderr), qt.Equals, _exitUsage)
+		c.Assert(Run([]string{"-surprise"}, &stdout, &stderr), qt.Equals, cli.ExitUsage)
 	})
 	c.Run("prints the version", func(c *qt.C) {
 		var stdout, stderr bytes.Buffer
-		c.Assert(Run([]string{"-version"}, &stdout, &stderr), qt.Equals, _exitOK)
+		c.Assert(Run([]string{"-version"}, &stdout, &stderr), qt.Equals, cli.ExitOK)
 		c.Assert(stdout.String(), qt.Contains, "azureshift ")
 	})
 }
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -13,12 +12,6 @@
 	"azureshift/cli"
 )
 
-const (
-	_exitOK = iota
-	_exitFailure
-	_exitUsage
-)
-
 const _usage = `usage: azureshift COMMAND [flags]
 
 commands:
@@ -40,24 +33,11 @@
 func Run(args []string, stdout, stderr io.Writer) int {
 	if len(args) == 0 {
 		_, _ = fmt.Fprint(stderr, _usage)
-		return _exitUsage
+		return cli.ExitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	err := dispatch(ctx, args, stdout, stderr)
-	var wrong *cli.UsageError
-	switch {
-	case err == nil:
-		return _exitOK
-	case errors.As(err, &wrong):
-		wrong.Tell(stderr)
-		return _exitUsage
-	case errors.Is(err, flag.ErrHelp):
-		return _exitUsage
-	default:
-		_, _ = fmt.Fprintln(stderr, "azureshift:", err)
-		return _exitFailure
-	}
+	return cli.Status(dispatch(ctx, args, stdout, stderr), stderr)
 }
 
 func dispatch(ctx context.Context, args []string, stdout, stderr io.Writer) error {
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -89,6 +89,14 @@
 func (daemon *Daemon) logDecision(
 	now time.Duration, header packet.Header, decision steer.Decision, table *steer.Table,
 ) {
+	daemon.log.LogWith(eventOf(header, decision), func() event.Fields {
+		return decisionFields(now, header, decision, table)
+	})
+}
+
+func decisionFields(
+	now time.Duration, header packet.Header, decision steer.Decision, table *steer.Table,
+) event.Fields {
 	fields := event.Fields{
 		"Flow":    header.Flow.String(),
 		"Reason":  decision.Reason.String(),
@@ -109,7 +117,7 @@
 	} else {
 		fields["Cookie"] = uint32(header.Cookie)
 	}
-	daemon.log.Log(eventOf(header, decision), fields)
+	return fields
 }
 
 func eventOf(header packet.Header, decision steer.Decision) event.Event {
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -108,6 +108,45 @@
 	})
 }
 
+// TestFieldsOfSuppressedLines checks that fields are made for lines that are written alone.
+func TestFieldsOfSuppressedLines(t *testing.T) {
+	c := qt.New(t)
+	logger, out, _ := newLogger(c)
+	made := 0
+	for range 5 {
+		logger.LogWith(LateAnswer, func() Fields {
+			made++
+			return Fields{"Made": made}
+		})
+	}
+	c.Assert(made, qt.Equals, 1)
+	c.Assert(lines(c, out), qt.HasLen, 1)
+	c.Assert(lines(c, out)[0]["Made"], qt.Equals, 1.0)
+}
+
+// BenchmarkSuppressedLine is the cost of a line of traffic beyond the limit.
+func BenchmarkSuppressedLine(b *testing.B) {
+	logger, err := NewLogger(Config{Period: time.Hour})
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := func() Fields {
+		return Fields{"Flow": fmt.Sprint(b.N), "Reason": "Overloaded", "Version": 7, "AgeMs": 12, "Load": 1.5}
+	}
+	b.Run("Log", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			logger.Log(LateAnswer, fields())
+		}
+	})
+	b.Run("LogWith", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			logger.LogWith(LateAnswer, fields)
+		}
+	})
+}
+
 func newLogger(c *qt.C) (*Logger, *bytes.Buffer, *time.Time) {
 	now := time.Unix(1700000000, 0)
 	out := &bytes.Buffer{}
--- a/event/logger.go
+++ b/event/logger.go
@@ -106,12 +106,18 @@
 // Log writes the event. Of a limited event it writes the first lines of a period, as many as a burst allows; the first
 // of the next period tells how many were suppressed before it.
 func (logger *Logger) Log(event Event, fields Fields) {
+	logger.LogWith(event, func() Fields { return fields })
+}
+
+// LogWith writes the event like Log, and makes its fields only if a line is written. It is for events that can come
+// with every packet.
+func (logger *Logger) LogWith(event Event, fields func() Fields) {
 	if !event.Limited {
-		logger.write(event, fields, 0)
+		logger.write(event, fields(), 0)
 		return
 	}
 	if suppressed, ok := logger.admit(event); ok {
-		logger.write(event, fields, suppressed)
+		logger.write(event, fields(), suppressed)
 	}
 }
 
