--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -48,7 +48,7 @@
 		return Decision{Verdict: Reset, Reason: NoServer}
 	}
 	server := steering.choose(now, pool, steering.zone(pool, hash), hash, int(header.Acknowledged))
-	limit := admitted(configured)
+	limit := admitted(configured, steering.table.Typical(pool))
 	if limit > 0 && steering.expected(pool, server) > limit {
 		if other := steering.within(pool, hash, limit); other != nil {
 			server = other
@@ -68,12 +68,16 @@
 	return Decision{Verdict: Forward, Reason: Offered, Server: server}
 }
 
-// admitted returns how long a request of a route may be expected to take. Under an overload that lasts it keeps
-// requests in time that are admitted at all, the more urgent ones longest. The others are refused at once, unopened, so
-// that their clients know that they have not run.
-func admitted(configured *route.Route) time.Duration {
+// admitted returns how long a request of a route may be expected to take, or zero if its route has no objective. Under
+// an overload that lasts it keeps requests in time that are admitted at all, the more urgent ones longest. The others
+// are refused at once, unopened, so that their clients know that they have not run. Where servers usually take long, or
+// are not yet known, a free one is room enough: a service that refused everything would never learn that it need not.
+func admitted(configured *route.Route, typical time.Duration) time.Duration {
+	if configured.Objective == 0 {
+		return 0
+	}
 	share := max(_admitted-_admittedStep*float64(configured.Priority), _admittedLeast)
-	return time.Duration(float64(configured.Objective) * share)
+	return max(time.Duration(float64(configured.Objective)*share), time.Duration(float64(typical)/_room))
 }
 
 // shed reports whether a new flow is refused, as the servers of its service are overloaded and the chosen one has no
--- a/core/steer/place_test.go
+++ b/core/steer/place_test.go
@@ -130,6 +130,21 @@
 		busy := slowed(1, "a", 6, usual)
 		assertDecision(c, with(tableOf(busy)).Packet(0, syn(1, _feeds, 0)), Forward, Offered)
 	})
+	c.Run("refuses nothing while servers are free, however long they usually take", func(c *qt.C) {
+		for _, usual := range []time.Duration{100 * time.Millisecond, 150 * time.Millisecond, time.Second} {
+			for port := range uint16(100) {
+				steering := with(tableOf(slowed(1, "a", 2, usual), slowed(2, "a", 1, usual)))
+				assertDecision(c, steering.Packet(0, syn(port, _feeds, 0)), Forward, Offered)
+			}
+		}
+	})
+	c.Run("refuses nothing for want of knowledge", func(c *qt.C) {
+		for port := range uint16(100) {
+			table := tableOf(server(1, "a"), server(2, "a"))
+			table.Routes[_feeds].Objective = _defaultService / 2
+			assertDecision(c, with(table).Packet(0, syn(port, _feeds, 0)), Forward, Offered)
+		}
+	})
 	c.Run("refuses less urgent flows first", func(c *qt.C) {
 		busy := slowed(1, "a", 11, usual)
 		assertDecision(c, with(tableOf(busy)).Packet(0, syn(1, _feeds, 0)), Reset, Overloaded)
--- a/experiment/load/load_test.go
+++ b/experiment/load/load_test.go
@@ -178,3 +178,17 @@
 		c.Assert(result.Held, qt.Equals, 0, qt.Commentf("of %d failed", result.Failed))
 	})
 }
+
+// TestNarrowObjectives replays a load that the servers can carry of requests whose objective is hardly longer than they
+// run. None may be refused for that.
+func TestNarrowObjectives(t *testing.T) {
+	c := qt.New(t)
+	for _, config := range []Config{short(), ofShortFlows()} {
+		for index := range config.Kinds {
+			config.Kinds[index].Objective = 60 * time.Millisecond
+		}
+		result := Run(config, Steered, Overload(0.6))
+		c.Check(float64(result.Failed) <= 0.001*float64(result.Asked), qt.IsTrue,
+			qt.Commentf("%d of %d failed", result.Failed, result.Asked))
+	}
+}
