Estimate a flow's server once, and forget the demand of services that are gone

Cause, from the read of the diff: place and shed both computed what is expected at the chosen server, on the path of every new flow under load; and what was counted of a service stayed for good.

Change: roomy chooses between the flow's server and another one and says whether it has room; shed looks at all servers alone. Demand of a service without servers or flows is dropped after a minute. No decision changes.

Result: TestDemandOfServices; tests of steer and of the patterns are green.

--- a/core/steer/demand.go
+++ b/core/steer/demand.go
@@ -12,6 +12,8 @@
 	_priorities = 8
 	// _demandSpan is the time constant over which demand is counted: a few reports.
 	_demandSpan = 2 * time.Second
+	// _demandLife is how long a service is remembered that has neither servers nor flows.
+	_demandLife = time.Minute
 	// _queueGoal is the part of what is admitted that requests on flows of their own are meant to take, and _queueGain the
 	// part of the servers' capacity that is admitted more if nothing waits, and less if twice as much waits as is meant.
 	_queueGoal = 0.6
--- a/core/steer/demand_test.go
+++ b/core/steer/demand_test.go
@@ -68,6 +68,23 @@
 	})
 }
 
+func TestDemandOfServices(t *testing.T) {
+	c := qt.New(t)
+	steering := with(tableOf(server(1, "a")))
+	steering.Packet(0, syn(1, _feeds, 0))
+	steering.Report(ReportSpan)
+	c.Assert(steering.demands, qt.HasLen, 1)
+	c.Run("is kept while it has servers", func(c *qt.C) {
+		steering.Report(2 * _demandLife)
+		c.Assert(steering.demands, qt.HasLen, 1)
+	})
+	c.Run("is forgotten when it has none", func(c *qt.C) {
+		steering.Use(&Table{})
+		steering.Report(4 * _demandLife)
+		c.Assert(steering.demands, qt.HasLen, 0)
+	})
+}
+
 func TestPortionOfAPriority(t *testing.T) {
 	c := qt.New(t)
 	demand := ofSingleRequests()
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -49,25 +49,37 @@
 	}
 	server := steering.choose(now, pool, steering.zone(pool, hash), hash, int(header.Acknowledged))
 	limit := admitted(configured, steering.table.Typical(pool))
-	if limit > 0 && steering.expected(pool, server) > limit {
-		if other := steering.within(pool, hash, limit); other != nil {
-			server = other
-		}
+	if limit == 0 {
+		return Decision{Verdict: Forward, Reason: Offered, Server: server}
 	}
-	if limit > 0 {
-		if header.Acknowledged == 0 {
-			steering.demandOf(pool.Service).offer(now, configured.Priority)
-		}
-		if expected, refused := steering.shed(configured, pool, server, limit, hash); refused {
-			steering.load(server.Cookie, now).refused++
-			return Decision{
-				Verdict: Reset, Reason: Overloaded, Server: server, Expected: expected, Admitted: limit,
-			}
-		}
+	if header.Acknowledged == 0 {
+		steering.demandOf(pool.Service).offer(now, configured.Priority)
+	}
+	server, room := steering.roomy(pool, server, hash, limit)
+	if room {
+		return Decision{Verdict: Forward, Reason: Offered, Server: server}
+	}
+	if expected, refused := steering.shed(configured, pool, limit, hash); refused {
+		steering.load(server.Cookie, now).refused++
+		return Decision{Verdict: Reset, Reason: Overloaded, Server: server, Expected: expected, Admitted: limit}
 	}
 	return Decision{Verdict: Forward, Reason: Offered, Server: server}
 }
 
+// roomy returns the chosen server of a new flow or, if that is expected to answer beyond the limit, one that is not,
+// and reports whether it has room. It answers one crowded server among others, and one crowded failure domain.
+func (steering *Steering) roomy(
+	pool *Pool, chosen *Server, hash uint64, limit time.Duration,
+) (server *Server, room bool) {
+	expected := steering.expected(pool, chosen)
+	if expected > limit {
+		if other := steering.within(pool, hash, limit); other != nil {
+			chosen, expected = other, steering.expected(pool, other)
+		}
+	}
+	return chosen, float64(expected) <= _room*float64(limit)
+}
+
 // admitted returns how long a request of a route may be expected to take, or zero if its route has no objective. Under
 // an overload that lasts it keeps requests in time that are admitted at all, the more urgent ones longest. The others
 // are refused at once, unopened, so that their clients know that they have not run. Where servers usually take long, or
@@ -80,16 +92,12 @@
 	return max(time.Duration(float64(configured.Objective)*share), time.Duration(float64(typical)/_room))
 }
 
-// shed reports whether a new flow is refused, as the servers of its service are overloaded and the chosen one has no
-// room either, and how long a request is expected to take. It answers loads beyond what all servers can run: a growing
-// share is refused, so that the servers stay busy while their queues stay short. The share of a flow is decided by its
-// hash; each attempt has another one.
+// shed reports whether a new flow is refused, as the servers of its service are overloaded, and how long a request is
+// expected to take. It answers loads beyond what all servers can run: a growing share is refused, so that the servers
+// stay busy while their queues stay short. The share of a flow is decided by its hash; each attempt has another one.
 func (steering *Steering) shed(
-	configured *route.Route, pool *Pool, server *Server, limit time.Duration, hash uint64,
+	configured *route.Route, pool *Pool, limit time.Duration, hash uint64,
 ) (expected time.Duration, refused bool) {
-	if float64(steering.expected(pool, server)) <= _room*float64(limit) {
-		return 0, false
-	}
 	known := steering.summarize(pool)
 	typical := steering.table.Typical(pool)
 	expected = known.expected(typical)
--- a/core/steer/report.go
+++ b/core/steer/report.go
@@ -64,6 +64,11 @@
 		}
 		observations = append(observations, observation)
 	}
+	for service, demand := range steering.demands {
+		if now-demand.at > _demandLife {
+			delete(steering.demands, service)
+		}
+	}
 	slices.SortFunc(observations, func(left, right Observation) int { return cmp.Compare(left.Cookie, right.Cookie) })
 	return observations
 }
