Log the shares that a refusal under overload was decided by

Cause, from the read of docs/OPERATIONS.md against the code: a refused flow's line gave the expected time alone, which decides for kept flows only. With flows of one request each nobody could see why a flow was refused.

Change: the decision holds the share of such flows that was refused and the share of requests that open a flow; both stand in the line as RefusedShare and SingleShare.

--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -59,9 +59,10 @@
 	if room {
 		return Decision{Verdict: Forward, Reason: Offered, Server: server}
 	}
-	if expected, refused := steering.shed(configured, pool, limit, hash); refused {
+	if decision := steering.shed(configured, pool, limit); share(hash, _shedSalt) < decision.Refused {
 		steering.load(server.Cookie, now).refused++
-		return Decision{Verdict: Reset, Reason: Overloaded, Server: server, Expected: expected, Admitted: limit}
+		decision.Server = server
+		return decision
 	}
 	return Decision{Verdict: Forward, Reason: Offered, Server: server}
 }
@@ -92,21 +93,22 @@
 	return max(time.Duration(float64(configured.Objective)*share), time.Duration(float64(typical)/_room))
 }
 
-// shed reports whether a new flow is refused, as the servers of its service are overloaded, and how long a request is
-// expected to take. It answers loads beyond what all servers can run: a growing share is refused, so that the servers
-// stay busy while their queues stay short. The share of a flow is decided by its hash; each attempt has another one.
-func (steering *Steering) shed(
-	configured *route.Route, pool *Pool, limit time.Duration, hash uint64,
-) (expected time.Duration, refused bool) {
+// shed returns the refusal of a new flow with the share of such flows that it applies to, as the servers of its service
+// are overloaded. It answers loads beyond what all servers can run: a growing share is refused, so that the servers
+// stay busy while their queues stay short. A flow's hash decides whether it is among them; each attempt has another
+// one.
+func (steering *Steering) shed(configured *route.Route, pool *Pool, limit time.Duration) Decision {
 	known := steering.summarize(pool)
 	typical := steering.table.Typical(pool)
-	expected = known.expected(typical)
+	expected := known.expected(typical)
 	demand := steering.demandOf(pool.Service)
 	ofKept := (float64(expected)/float64(limit) - _shedFrom) / (_shedAll - _shedFrom)
 	ofSingle := 1 - demand.portion(configured.Priority, demand.admit(known, typical, limit))
 	single := demand.single()
-	part := single*clamp(ofSingle) + (1-single)*clamp(ofKept)
-	return expected, share(hash, _shedSalt) < part
+	return Decision{
+		Verdict: Reset, Reason: Overloaded, Expected: expected, Admitted: limit,
+		Refused: single*clamp(ofSingle) + (1-single)*clamp(ofKept), Single: single,
+	}
 }
 
 // clamp returns a share, which is from 0 to 1.
--- a/core/steer/place_test.go
+++ b/core/steer/place_test.go
@@ -118,6 +118,8 @@
 		decision := with(tableOf(slowed(1, "a", 15, usual))).Packet(0, syn(1, _feeds, 0))
 		c.Assert(decision.Expected, qt.Equals, 5*usual)
 		c.Assert(decision.Admitted, qt.Equals, 140*time.Millisecond)
+		c.Assert(decision.Refused, qt.Equals, 1.0)
+		c.Assert(decision.Single, qt.Equals, 0.0)
 	})
 	c.Run("leaves out requests whose answers went past other instances", func(c *qt.C) {
 		busy := slowed(1, "a", 15, usual)
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -102,6 +102,10 @@
 	// that decided.
 	Expected time.Duration
 	Admitted time.Duration
+	// Refused is the share of such flows that was refused, and Single the share of requests that opened a flow, if these
+	// decided.
+	Refused float64
+	Single  float64
 	// Latency is how long the answer took that the packet is the first sign of, and Kind the kind of its request.
 	Latency time.Duration
 	Kind    route.Kind
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -111,6 +111,8 @@
 	if decision.Admitted > 0 {
 		fields["ExpectedMs"] = decision.Expected.Milliseconds()
 		fields["AdmittedMs"] = decision.Admitted.Milliseconds()
+		fields["RefusedShare"] = decision.Refused
+		fields["SingleShare"] = decision.Single
 	}
 	if header.Opens() {
 		fields["Copy"] = header.Acknowledged
