Log listings of the store that are ignored

On-call could not see why a configuration never came into force after the store was restored from a backup: no line had the revision of a listing.

--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -80,6 +80,8 @@
 	Age time.Duration
 	// Version is the version of the configuration or the revision of the store, depending on Kind.
 	Version uint64
+	// Known is the revision that the instance already had when it ignored a listing.
+	Known uint64
 	// Domain is the failure domain of the server, and Slowness the judgement of its latency.
 	Domain   id.Domain
 	Slowness detector.SlownessChange
@@ -118,6 +120,8 @@
 	NoteCollision
 	// NoteListed is the first listing of the store.
 	NoteListed
+	// NoteListingOld is a listing of the store that is ignored because it is older than the known state.
+	NoteListingOld
 	// NoteServerSlow is a backend server that answers much later than others.
 	NoteServerSlow
 	// NoteServerUsual is a backend server that no longer answers much later than others.
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -87,6 +87,11 @@
 	if first {
 		state.presumeDisruption()
 	}
+	if event.Revision < state.catalog.Revision() {
+		state.emit(Note{
+			Kind: NoteListingOld, Age: state.age(), Version: uint64(event.Revision), Known: uint64(state.catalog.Revision()),
+		})
+	}
 	entries := state.catalog.ApplyListing(state.interval(), event.Entries, event.Revision)
 	if state.massLapse(entries) {
 		state.noteDisruption()
--- a/entry/note.go
+++ b/entry/note.go
@@ -20,6 +20,7 @@
 	core.NoteResumed:       event.Suspended,
 	core.NoteCollision:     event.CookieCollision,
 	core.NoteListed:        event.StoreListed,
+	core.NoteListingOld:    event.ListingIgnored,
 	core.NoteServerSlow:    event.ServerSlow,
 	core.NoteServerUsual:   event.ServerUsual,
 }
@@ -47,5 +48,8 @@
 	if note.Version > 0 {
 		fields["Version"] = note.Version
 	}
+	if note.Known > 0 {
+		fields["Known"] = note.Known
+	}
 	daemon.log.Log(_noteEvents[note.Kind], fields)
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -232,4 +232,7 @@
 		"Read the standard output faster.")
 	FollowerChanged = define(1215, "FollowerChanged", _info, "instance starts or stops following the store", _noRemedy)
 	StoreListed     = define(1216, "StoreListed", _info, "first listing of the metadata store read", _noRemedy)
+	ListingIgnored  = defineLimited(1217, "ListingIgnored", _warn,
+		"listing of the metadata store ignored: it is older than the known state",
+		"Expected after a slow answer. If it repeats, the store has lost changes: check its revision and era.")
 )
