Reproduce a configuration lost under a reused revision

Callers of a new route are refused for good after the store was restored from a copy. The stand-in of the store can be restored now: the content goes back, revisions and leases are given out again, Store-Era rises, a watch after a revision that is not there gets 410.

--- a/standin/metastore/faults.go
+++ b/standin/metastore/faults.go
@@ -93,9 +93,11 @@
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
 	case Busy:
+		store.writeEra(writer)
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	case RateLimited:
+		store.writeEra(writer)
 		writer.WriteHeader(http.StatusTooManyRequests)
 		return false
 	case Reset:
--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -21,6 +21,7 @@
 	handle := func(pattern string, serve http.HandlerFunc) {
 		mux.HandleFunc(pattern, func(writer http.ResponseWriter, request *http.Request) {
 			if store.admit(listener, writer, request) {
+				store.writeEra(writer)
 				serve(writer, request)
 			}
 		})
@@ -113,7 +114,8 @@
 			resetConnection(writer)
 			return
 		}
-		if Revision(after) < compacted {
+		store.writeEra(writer)
+		if Revision(after) < compacted || Revision(after) > revision {
 			writer.WriteHeader(http.StatusGone)
 			return
 		}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -46,6 +46,7 @@
 	config Config
 
 	mu       sync.Mutex
+	era      Era
 	revision Revision
 	items    map[string]Item
 	history  []Item
@@ -71,6 +72,7 @@
 	}
 	return &Store{
 		config:         config,
+		era:            1,
 		revision:       _initialRevision,
 		items:          make(map[string]Item),
 		leases:         make(map[Lease]time.Time),
--- a/testbed/registry.go
+++ b/testbed/registry.go
@@ -20,6 +20,8 @@
 
 	mu    sync.Mutex
 	lease metastore.Lease
+	// era is the store's era in which the lease was granted. A restored store may have granted its number to another.
+	era metastore.Era
 }
 
 func newRegistry(store *metastore.Store) *registry {
@@ -33,8 +35,9 @@
 	}
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
-	if registry.lease == 0 || !registry.store.Renew(registry.lease) {
-		registry.lease = registry.store.Grant(_registrationTTL)
+	era := registry.store.Era()
+	if registry.lease == 0 || registry.era != era || !registry.store.Renew(registry.lease) {
+		registry.lease, registry.era = registry.store.Grant(_registrationTTL), era
 	}
 	registry.store.Put(key, value, registry.lease)
 	return nil
