Order the store's revisions by its eras

Cause: revisions were compared across the restore. The catalog ignored listings below the revision that it knew, and watches began after a number that the store had given out again; the change that took this number was reported to nobody. Class: a sequence number whose source may go back is compared without the epoch of its source. The same class: leases, whose numbers are given out again too, so that an instance could renew or end the lease of another one.

Change: a revision holds the era that the store names in Store-Era, so that later eras order above earlier ones wherever revisions are compared: catalog, updates, views, reports. Instances of the version before decode it as the number that it was. A watch of an earlier era fails like one whose history was compacted, a listing over two eras fails. Leases are valid in their era; one whose registration the backup has is kept, others are replaced within 2 s. A registration from a backup doesn't bring back a server of the same run that leaves, nor take a dead one for alive, and a restore counts as a disruption, so that lost registrations have 3 s to return. Log lines have Revision and Era where Version was a revision.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -20,8 +20,9 @@
 	Server *target.Target `cbor:"2,keyasint,omitempty"`
 	// MissingServer names a backend server without a usable registration.
 	MissingServer id.Target `cbor:"3,keyasint,omitempty"`
-	// Instance is the new registration of an entry instance.
-	Instance *Instance `cbor:"4,keyasint,omitempty"`
+	// Instance is the new registration of an entry instance, and Lease the lease that it was written under.
+	Instance *Instance   `cbor:"4,keyasint,omitempty"`
+	Lease    store.Lease `cbor:"6,keyasint,omitempty"`
 	// MissingInstance names an entry instance without a registration.
 	MissingInstance id.Instance `cbor:"5,keyasint,omitempty"`
 }
@@ -39,6 +40,22 @@
 	LastPresent  time.Duration
 }
 
+// confirm reports whether an entry of a later era than the record tells nothing new: it equals the known registration,
+// or the server has announced that it leaves, which is final for a run of a server, and the entry is from a backup of the
+// store. It gives the record the revision of the entry.
+func (record *Record) confirm(entry Entry) bool {
+	if entry.Revision.Era() == record.Revision.Era() {
+		return false
+	}
+	sameRun := record.StartTime != 0 && record.StartTime == entry.Server.StartTime
+	left := sameRun && record.State.Leaving() && !entry.Server.State.Leaving()
+	unchanged := !record.Missing && record.Target == *entry.Server
+	if left || unchanged {
+		record.Revision = entry.Revision
+	}
+	return left || unchanged
+}
+
 // Interval is the time in which changes happened: between LastConfirmed, when the catalog was last confirmed
 // to be up to date, and Now.
 type Interval struct {
@@ -78,6 +95,7 @@
 // instanceRecord is the last known registration of an entry instance and whether it still exists.
 type instanceRecord struct {
 	Instance
+	lease    store.Lease
 	revision store.Revision
 	missing  bool
 }
@@ -231,7 +249,9 @@
 	}
 	for _, name := range sortedKeys(catalog.instances) {
 		if instance := catalog.instances[name]; !instance.missing {
-			entries = append(entries, Entry{Revision: instance.revision, Instance: &instance.Instance})
+			entries = append(entries, Entry{
+				Revision: instance.revision, Instance: &instance.Instance, Lease: instance.lease,
+			})
 		}
 	}
 	return entries
@@ -291,7 +311,7 @@
 	switch {
 	case entry.Server != nil:
 		known, ok := catalog.servers[entry.Server.ID]
-		if ok && known.Revision >= entry.Revision {
+		if ok && (known.Revision >= entry.Revision || known.confirm(entry)) {
 			return false
 		}
 		catalog.servers[entry.Server.ID] = &Record{Target: *entry.Server, Revision: entry.Revision, LearnedAt: interval.Now}
@@ -308,7 +328,10 @@
 		if ok && known.revision >= entry.Revision {
 			return false
 		}
-		catalog.instances[entry.Instance.Name] = instanceRecord{Instance: *entry.Instance, revision: entry.Revision}
+		registered := instanceRecord{Instance: *entry.Instance, lease: entry.Lease, revision: entry.Revision}
+		catalog.instances[entry.Instance.Name] = registered
+		known.revision = entry.Revision
+		return known != registered
 	case entry.MissingInstance != "":
 		known, ok := catalog.instances[entry.MissingInstance]
 		if !ok || known.missing || known.revision > entry.Revision {
--- a/core/catalog/instance.go
+++ b/core/catalog/instance.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"azureshift/core/id"
+	"azureshift/core/store"
 )
 
 // Instance is the registration of an entry instance.
@@ -18,6 +19,12 @@
 	Capacity int `cbor:"5,keyasint"`
 }
 
+// Lease returns the lease of the registration of an entry instance, and false if it has none.
+func (catalog *Catalog) Lease(name id.Instance) (store.Lease, bool) {
+	known, ok := catalog.instances[name]
+	return known.lease, ok && !known.missing
+}
+
 // Instances returns the registered entry instances, sorted by name.
 func (catalog *Catalog) Instances() []Instance {
 	instances := make([]Instance, 0, len(catalog.instances))
--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -245,6 +248,7 @@
 		Target: target.Target{
 			ID: name, Number: target.Number(number), Service: "chiosco", Domain: domain, Slots: 3,
 			State: target.StateReady, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 64, byte(number)}), 80),
+			StartTime: target.StartTime(1 + cluster.now.Milliseconds()),
 		},
 		alive: true, changedAt: cluster.now,
 	}
@@ -268,6 +272,12 @@
 	cluster.write("server/"+string(server.ID), catalog.Entry{MissingServer: server.ID}, nil)
 }
 
+func (cluster *cluster) orderedServers() []*backend {
+	servers := slices.Collect(maps.Values(cluster.servers))
+	slices.SortFunc(servers, func(left, right *backend) int { return cmp.Compare(left.ID, right.ID) })
+	return servers
+}
+
 func countFollowers(cluster *cluster) int {
 	count := 0
 	for _, node := range cluster.nodes {
--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -106,6 +106,8 @@
 	_settleTime = 3 * time.Second
 	// _reregisterTime is the time in which registrations that lapsed with the store return, which is about two seconds.
 	_reregisterTime = 2500 * time.Millisecond
+	// _reregisterSpread is the period over which instances spread their new registrations after a restore of the store.
+	_reregisterSpread = 2 * time.Second
 	// _lateAnswerMargin is how much longer than the requested wait the store may take to answer before this counts as a
 	// disruption. It answers within milliseconds; an instance with little processor time adds some tens of them.
 	_lateAnswerMargin = 500 * time.Millisecond
--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -9,6 +9,7 @@
 	"azureshift/core/fleet"
 	"azureshift/core/id"
 	"azureshift/core/packet"
+	"azureshift/core/route"
 	"azureshift/core/steer"
 	"azureshift/core/store"
 )
@@ -42,7 +43,7 @@
 type Renew struct{ Grant store.Grant }
 
 // Unregister revokes the lease of the registration.
-type Unregister struct{ Lease store.Lease }
+type Unregister struct{ Grant store.Grant }
 
 // Probe checks whether a backend server is alive. Its result is a Probed.
 type Probe struct {
@@ -78,10 +79,11 @@
 	Cause string
 	// Age is the age of the state on which the change is based.
 	Age time.Duration
-	// Version is the version of the configuration or the revision of the store, depending on Kind.
-	Version uint64
-	// Known is the revision that the instance already had when it ignored a listing.
-	Known uint64
+	// Version is the version of the configuration, and Revision the revision of the store, if the note is about them.
+	Version  route.Version
+	Revision store.Revision
+	// Known is the revision that the instance had before a listing.
+	Known store.Revision
 	// Domain is the failure domain of the server, and Slowness the judgement of its latency.
 	Domain   id.Domain
 	Slowness detector.SlownessChange
@@ -108,8 +110,8 @@
 	NoteInstance
 	// NoteStoreLost is the first failed read of the store.
 	NoteStoreLost
-	// NoteStoreRestored is the first successful read after NoteStoreLost.
-	NoteStoreRestored
+	// NoteStoreBack is the first successful read after NoteStoreLost.
+	NoteStoreBack
 	// NoteStale says that the state has become older than the strictest limit.
 	NoteStale
 	// NoteFresh says that the state is no longer stale.
@@ -122,6 +124,8 @@
 	NoteListed
 	// NoteListingOld is a listing of the store that is ignored because it is older than the known state.
 	NoteListingOld
+	// NoteStoreRestored is a restore of the store from a backup.
+	NoteStoreRestored
 	// NoteServerSlow is a backend server that answers much later than others.
 	NoteServerSlow
 	// NoteServerUsual is a backend server that no longer answers much later than others.
@@ -144,7 +148,7 @@
 
 // describe returns the log note of a changed entry of the catalog.
 func describe(entry catalog.Entry, age time.Duration) Note {
-	note := Note{Kind: NoteServer, Age: age, Version: uint64(entry.Revision)}
+	note := Note{Kind: NoteServer, Age: age, Revision: entry.Revision}
 	switch {
 	case entry.Server != nil:
 		note.Server = entry.Server.ID
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -51,8 +51,8 @@
 // ReadFailed says that a List or Follow has failed.
 type ReadFailed struct {
 	At time.Duration
-	// Compacted says that the store no longer has the requested changes.
-	Compacted bool
+	// HistoryLost says that the store no longer has the requested changes, as it compacted its history or was restored.
+	HistoryLost bool
 }
 
 // Fetched holds the state fetched from another instance.
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -1,8 +1,12 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"azureshift/core/catalog"
 	"azureshift/core/id"
 	"azureshift/core/packet"
@@ -30,6 +34,13 @@
 	waiters      []func()
 }
 
+// fakeCopy is the content of a fakeStore at one moment.
+type fakeCopy struct {
+	revision store.Revision
+	entries  map[string]catalog.Entry
+	config   route.Config
+}
+
 type storeChange struct {
 	entry  catalog.Entry
 	config *route.Config
@@ -56,8 +67,8 @@
 		return
 	}
 	listed := Listed{RequestedAt: asked, Revision: cluster.store.revision}
-	for _, entry := range cluster.store.entries {
-		listed.Entries = append(listed.Entries, entry)
+	for _, key := range slices.Sorted(maps.Keys(cluster.store.entries)) {
+		listed.Entries = append(listed.Entries, cluster.store.entries[key])
 	}
 	if cluster.store.config.Version > 0 {
 		config := cluster.store.config
@@ -75,8 +86,8 @@
 		cluster.failRead(node)
 		return
 	}
-	if effect.After < cluster.store.compacted {
-		cluster.schedule(node, _storeDelay, func() Event { return ReadFailed{At: cluster.now, Compacted: true} })
+	if effect.After < cluster.store.compacted || effect.After > cluster.store.revision {
+		cluster.schedule(node, _storeDelay, func() Event { return ReadFailed{At: cluster.now, HistoryLost: true} })
 		return
 	}
 	asked, generation, answered := cluster.now, node.generation, false
@@ -89,6 +100,10 @@
 			cluster.failRead(node)
 			return
 		}
+		if effect.After.Era() != cluster.store.revision.Era() {
+			cluster.schedule(node, _storeDelay, func() Event { return ReadFailed{At: cluster.now, HistoryLost: true} })
+			return
+		}
 		followed := Followed{RequestedAt: asked, After: effect.After, Revision: cluster.store.revision}
 		for _, storeChange := range cluster.store.history {
 			if storeChange.config != nil && storeChange.entry.Revision > effect.After {
@@ -162,8 +177,11 @@
 		return
 	}
 	self := node.self
-	cluster.write("instance/"+string(self.Name), catalog.Entry{Instance: &self}, nil)
-	grant := store.Grant{Lease: store.Lease(cluster.store.revision), TTL: 10 * time.Second}
+	// The lease has the number of the write, so that a restored store grants lost leases to others again.
+	grant := store.Grant{
+		Era: cluster.store.revision.Era(), Lease: store.Lease(cluster.store.revision.Number() + 1), TTL: 10 * time.Second,
+	}
+	cluster.write("instance/"+string(self.Name), catalog.Entry{Instance: &self, Lease: grant.Lease}, nil)
 	cluster.schedule(node, _storeDelay, func() Event { return Registered{At: cluster.now, Grant: grant} })
 }
 
@@ -172,9 +190,68 @@
 		cluster.schedule(node, _callTimeout, func() Event { return RegisterFailed{At: cluster.now} })
 		return
 	}
-	cluster.schedule(node, _storeDelay, func() Event { return Registered{At: cluster.now, Grant: effect.Grant} })
+	ended := effect.Grant.Era != cluster.store.revision.Era()
+	cluster.schedule(node, _storeDelay, func() Event {
+		if ended {
+			return RegisterFailed{At: cluster.now, Ended: true}
+		}
+		return Registered{At: cluster.now, Grant: effect.Grant}
+	})
+}
+
+func (cluster *cluster) copyStore() fakeCopy {
+	return fakeCopy{
+		revision: cluster.store.revision, entries: maps.Clone(cluster.store.entries), config: cluster.store.config,
+	}
+}
+
+// restoreStore brings the store back from a copy, in a new era. The operator and the backend servers write again what is
+// lost, in a random order within _rewriteTime.
+func (cluster *cluster) restoreStore(copied fakeCopy) {
+	lost, config := cluster.store.entries, cluster.store.config
+	revision, err := store.NewRevision(cluster.store.revision.Era()+1, copied.revision.Number())
+	cluster.c.Assert(err, qt.IsNil)
+	cluster.store.revision, cluster.store.compacted = revision, revision
+	cluster.store.entries, cluster.store.config = make(map[string]catalog.Entry), copied.config
+	cluster.store.history = nil
+	for key, entry := range copied.entries {
+		entry.Revision, err = store.NewRevision(revision.Era(), entry.Revision.Number())
+		cluster.c.Assert(err, qt.IsNil)
+		cluster.store.entries[key] = entry
+	}
+	cluster.store.disruptedAt = cluster.now
+	pause := func() time.Duration { return time.Duration(cluster.random.Int64N(int64(_rewriteTime))) }
+	if config.Version != copied.config.Version {
+		cluster.after(pause(), func() {
+			if config.Version > cluster.store.config.Version {
+				cluster.write("", catalog.Entry{}, &config)
+			}
+		})
+	}
+	for _, server := range cluster.orderedServers() {
+		key := "server/" + string(server.ID)
+		_, registered := lost[key]
+		_, restored := copied.entries[key]
+		if registered || restored {
+			cluster.after(pause(), func() { cluster.writeAgain(server) })
+		}
+	}
+}
+
+// writeAgain writes the registration of a server to a restored store, or removes that of a server that has ended.
+func (cluster *cluster) writeAgain(server *backend) {
+	entry, registered := cluster.store.entries["server/"+string(server.ID)]
+	switch {
+	case server.alive && (!registered || *entry.Server != server.Target):
+		cluster.registerServer(server)
+	case !server.alive && registered:
+		cluster.lapseRegistration(server)
+	}
 }
 
+// _rewriteTime is the time within which the operator and the servers write again what a restored store has lost.
+const _rewriteTime = 2 * time.Second
+
 // lapseRegistration ends the registration of a live server.
 func (cluster *cluster) lapseRegistration(server *backend) {
 	cluster.write("server/"+string(server.ID), catalog.Entry{MissingServer: server.ID}, nil)
--- a/core/entry/fetch.go
+++ b/core/entry/fetch.go
@@ -83,17 +83,14 @@
 		return
 	}
 	first := state.catalog.Revision() == 0
-	switch {
-	case view.Base > 0:
+	if view.Base > 0 {
 		entries, ok := state.catalog.ApplyChanges(state.interval(), view.Base, view.Entries, view.Revision)
 		if !ok {
 			return
 		}
 		state.noteAndApply(entries)
-	case first:
-		state.noteAndApplyFirst(state.catalog.ApplyListing(state.interval(), view.Entries, view.Revision))
-	default:
-		state.noteAndApply(state.catalog.ApplyListing(state.interval(), view.Entries, view.Revision))
+	} else {
+		state.applyListing(view.Entries, view.Revision)
 	}
 	state.configure(&view.Config)
 	if view.Version < state.catalog.Routes().Version {
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -6,6 +6,7 @@
 	"azureshift/core/catalog"
 	"azureshift/core/fleet"
 	"azureshift/core/route"
+	"azureshift/core/store"
 )
 
 // reading is the state of reads from the store.
@@ -87,20 +88,7 @@
 	if first {
 		state.presumeDisruption()
 	}
-	if event.Revision < state.catalog.Revision() {
-		state.emit(Note{
-			Kind: NoteListingOld, Age: state.age(), Version: uint64(event.Revision), Known: uint64(state.catalog.Revision()),
-		})
-	}
-	entries := state.catalog.ApplyListing(state.interval(), event.Entries, event.Revision)
-	if state.massLapse(entries) {
-		state.noteDisruption()
-	}
-	if first {
-		state.noteAndApplyFirst(entries)
-	} else {
-		state.noteAndApply(entries)
-	}
+	state.applyListing(event.Entries, event.Revision)
 	state.configure(event.Config)
 	state.confirm(event.RequestedAt)
 	pause := portion(state.config.Limits.strictest(), _batchFraction)
@@ -112,6 +100,37 @@
 	state.claimFollower(event.RequestedAt + pause)
 }
 
+// applyListing applies a listing of the store that this instance or another one has read.
+func (state *State) applyListing(entries []catalog.Entry, revision store.Revision) {
+	known := state.catalog.Revision()
+	changed := state.catalog.ApplyListing(state.interval(), entries, revision)
+	switch {
+	case known == 0:
+		state.noteAndApplyFirst(changed)
+	case revision < known:
+		state.emit(Note{Kind: NoteListingOld, Age: state.age(), Revision: revision, Known: known})
+	case revision.Era() > known.Era():
+		state.handleRestored(known)
+		state.note(changed)
+		state.applyRestored(changed)
+	default:
+		if state.massLapse(changed) {
+			state.noteDisruption()
+		}
+		state.noteAndApply(changed)
+	}
+}
+
+// handleRestored handles that the store was restored from a backup: registrations that it lacks may be written again.
+func (state *State) handleRestored(known store.Revision) {
+	revision := state.catalog.Revision()
+	state.emit(Note{Kind: NoteStoreRestored, Age: state.age(), Revision: revision, Known: known})
+	state.noteDisruption()
+	lease, registered := state.catalog.Lease(state.config.Self.Name)
+	state.registration.handleRestored(revision.Era(), registered && lease == state.registration.grant.Lease,
+		state.now+time.Duration(state.config.Random()*float64(_reregisterSpread)))
+}
+
 func (state *State) handleFollowed(event Followed) {
 	state.readSucceeded()
 	if event.Revision > event.After && event.Changes == 0 {
@@ -169,7 +188,7 @@
 	if state.reading.storeLost {
 		state.reading.storeLost = false
 		state.noteDisruption()
-		state.emit(Note{Kind: NoteStoreRestored, Age: state.age(), Version: uint64(state.catalog.Revision())})
+		state.emit(Note{Kind: NoteStoreBack, Age: state.age(), Revision: state.catalog.Revision()})
 	}
 }
 
@@ -177,7 +196,7 @@
 // leads to a new listing at once.
 func (state *State) handleReadFailed(event ReadFailed) {
 	state.reading.pending = false
-	if event.Compacted {
+	if event.HistoryLost {
 		state.reading.relist = true
 		state.readStore()
 		return
@@ -185,7 +204,7 @@
 	state.noteDisruption()
 	if !state.reading.storeLost {
 		state.reading.storeLost = true
-		state.emit(Note{Kind: NoteStoreLost, Age: state.age(), Version: uint64(state.catalog.Revision())})
+		state.emit(Note{Kind: NoteStoreLost, Age: state.age(), Revision: state.catalog.Revision()})
 	}
 	pause := backoff(state.reading.failures, state.config.Random())
 	state.reading.failures++
@@ -248,16 +267,20 @@
 
 // noteAndApply logs changes of the catalog and applies them.
 func (state *State) noteAndApply(entries []catalog.Entry) {
+	state.note(entries)
+	state.applyEntries(entries)
+}
+
+func (state *State) note(entries []catalog.Entry) {
 	for _, entry := range entries {
 		state.emit(describe(entry, state.age()))
 	}
-	state.applyEntries(entries)
 }
 
 // noteAndApplyFirst logs the first state of the store and applies it. The log gets only the number of entries: an
 // instance with little processor time would take longer to write a line for each than to read the whole listing.
 func (state *State) noteAndApplyFirst(entries []catalog.Entry) {
-	note := Note{Kind: NoteListed, Age: state.age(), Version: uint64(state.catalog.Revision())}
+	note := Note{Kind: NoteListed, Age: state.age(), Revision: state.catalog.Revision()}
 	for _, entry := range entries {
 		switch {
 		case entry.Server != nil:
@@ -272,12 +295,21 @@
 
 // applyEntries updates the rest of the state after changes of the catalog.
 func (state *State) applyEntries(entries []catalog.Entry) {
+	for _, entry := range entries {
+		if entry.Server != nil {
+			state.applyConditionChanges(state.detector.HandleRegistration(entry.Server.ID))
+		}
+	}
+	state.applyRestored(entries)
+}
+
+// applyRestored updates the rest of the state after changes of the catalog by a restore of the store. A registration
+// from a backup does not show that its server is alive, so that dead servers are probed before they are used again.
+func (state *State) applyRestored(entries []catalog.Entry) {
 	registered := false
 	for _, entry := range entries {
 		state.publishing.changed, state.relaying.changed = true, true
 		switch {
-		case entry.Server != nil:
-			state.applyConditionChanges(state.detector.HandleRegistration(entry.Server.ID))
 		case entry.MissingServer != "":
 			state.requestProbe(entry.MissingServer)
 		case entry.Instance != nil:
@@ -303,7 +335,7 @@
 // noteConfig logs a new configuration and has it published and sent to others.
 func (state *State) noteConfig() {
 	state.publishing.changed, state.publishing.configChanged, state.relaying.changed = true, true, true
-	state.emit(Note{Kind: NoteConfig, Age: state.age(), Version: uint64(state.catalog.Routes().Version)})
+	state.emit(Note{Kind: NoteConfig, Age: state.age(), Version: state.catalog.Routes().Version})
 }
 
 // confirm records that the state was the newest at a time. A time before the last suspension is longer ago than the
--- a/core/entry/register.go
+++ b/core/entry/register.go
@@ -17,8 +17,9 @@
 	retryAt  time.Duration
 }
 
-func (registration *registration) handleRegistered(event Registered) {
-	registration.pending, registration.ended, registration.failures = false, false, 0
+// handleRegistered records a grant, which is void if the store was restored since.
+func (registration *registration) handleRegistered(event Registered, era store.Era) {
+	registration.pending, registration.ended, registration.failures = false, event.Grant.Era < era, 0
 	registration.grant, registration.renewedAt = event.Grant, event.At
 }
 
@@ -31,6 +32,19 @@
 	}
 }
 
+// handleRestored handles a restore of the store. The lease is valid in the new era if the registration under it was
+// restored too. If not, its number may be given out again, and the instance registers again at retryAt.
+func (registration *registration) handleRestored(era store.Era, restored bool, retryAt time.Duration) {
+	if registration.grant.Lease == 0 || registration.grant.Era >= era {
+		return
+	}
+	if restored {
+		registration.grant.Era = era
+		return
+	}
+	registration.ended, registration.retryAt = true, retryAt
+}
+
 // markEnded records that the store no longer has the entry.
 func (registration *registration) markEnded() {
 	registration.ended = true
--- /dev/null
+++ b/core/entry/restored_test.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azureshift/core/steer"
+	"azureshift/core/target"
+)
+
+// restoredCluster returns a cluster whose store was restored a moment ago: lost are all changes that change makes.
+func restoredCluster(c *qt.C, change func(cluster *cluster)) *cluster {
+	cluster := startCluster(c, 21, 3, 2)
+	cluster.checkFor(8 * time.Second)
+	copied := cluster.copyStore()
+	change(cluster)
+	cluster.runFor(2 * time.Second)
+	cluster.store.resets = true
+	cluster.setStoreDown(true)
+	cluster.runFor(time.Second)
+	cluster.restoreStore(copied)
+	cluster.setStoreDown(false)
+	return cluster
+}
+
+// assertConfigured asserts that a configuration is in force on all instances.
+func assertConfigured(c *qt.C, cluster *cluster) {
+	c.Helper()
+	for _, node := range cluster.orderedNodes() {
+		c.Assert(node.table.Version, qt.Equals, cluster.store.config.Version, qt.Commentf("%s", node.self.Name))
+	}
+}
+
+// conditionAt returns the condition of a server in the table of an instance.
+func conditionAt(node *node, server *backend) steer.Condition {
+	return node.table.Servers[target.CookieOf(server.Number)].Condition
+}
+
+func TestStoreRestoredFromACopy(t *testing.T) {
+	c := qt.New(t)
+	c.Run("puts configurations in force whose revision was given out before", func(c *qt.C) {
+		cluster := restoredCluster(c, func(cluster *cluster) {
+			cluster.configure(5)
+			cluster.configure(7)
+		})
+		cluster.checkFor(4 * time.Second)
+		for range 3 {
+			cluster.configure(cluster.store.config.Version + 2)
+			cluster.checkFor(time.Second)
+			assertConfigured(c, cluster)
+		}
+	})
+	c.Run("never offers a flow to a server whose leaving was lost", func(c *qt.C) {
+		var leaving *backend
+		cluster := restoredCluster(c, func(cluster *cluster) {
+			leaving = cluster.servers["i-00000001"]
+			cluster.drainServer(leaving)
+		})
+		for range 60 {
+			cluster.runFor(50 * time.Millisecond)
+			for _, node := range cluster.orderedNodes() {
+				c.Assert(conditionAt(node, leaving), qt.Equals, steer.Leaving, qt.Commentf("%s at %s", node.self.Name, cluster.now))
+			}
+		}
+	})
+	c.Run("keeps offering flows to a server whose registration was lost", func(c *qt.C) {
+		var joined *backend
+		cluster := restoredCluster(c, func(cluster *cluster) { joined = cluster.addServer("a", 99) })
+		for range 100 {
+			cluster.runFor(50 * time.Millisecond)
+			for _, node := range cluster.orderedNodes() {
+				c.Assert(conditionAt(node, joined), qt.Equals, steer.Usable, qt.Commentf("%s at %s", node.self.Name, cluster.now))
+			}
+		}
+	})
+	c.Run("does not take a dead server for alive because the copy has it", func(c *qt.C) {
+		var dead *backend
+		cluster := restoredCluster(c, func(cluster *cluster) {
+			dead = cluster.servers["i-00000002"]
+			dead.alive = false
+			cluster.lapseRegistration(dead)
+		})
+		for range 100 {
+			cluster.runFor(50 * time.Millisecond)
+			for _, node := range cluster.orderedNodes() {
+				c.Assert(conditionAt(node, dead), qt.Equals, steer.Dead, qt.Commentf("%s at %s", node.self.Name, cluster.now))
+			}
+		}
+	})
+	c.Run("logs the restore once and no server that did not change", func(c *qt.C) {
+		cluster := restoredCluster(c, func(*cluster) {})
+		before := countNotes(cluster, NoteServer)
+		cluster.runFor(3 * time.Second)
+		c.Assert(countNotes(cluster, NoteServer), qt.Equals, before)
+		c.Assert(countNotes(cluster, NoteStoreRestored), qt.Equals, len(cluster.nodes))
+	})
+}
+
+// TestLeaseOfALostRegistration loses the registration of an instance, whose lease the store then grants to another one.
+func TestLeaseOfALostRegistration(t *testing.T) {
+	c := qt.New(t)
+	var added *node
+	cluster := restoredCluster(c, func(cluster *cluster) {
+		added = cluster.addNode("a", 4, 61)
+		cluster.runFor(time.Second)
+	})
+	kept := cluster.orderedNodes()[0]
+	lease := kept.state.registration.grant.Lease
+	c.Run("registers again", func(c *qt.C) {
+		lost := added.state.registration.grant
+		cluster.checkFor(4 * time.Second)
+		granted := added.state.registration.grant
+		c.Assert(granted.Era, qt.Equals, lost.Era+1)
+		registered, ok := added.state.catalog.Lease(added.self.Name)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(registered, qt.Equals, granted.Lease)
+	})
+	c.Run("keeps a lease that the copy has", func(c *qt.C) {
+		c.Assert(kept.state.registration.grant.Lease, qt.Equals, lease)
+		c.Assert(kept.state.registration.grant.Era, qt.Equals, cluster.store.revision.Era())
+		c.Assert(kept.state.registration.ended, qt.IsFalse)
+	})
+	c.Run("does not revoke a lost lease", func(c *qt.C) {
+		added.state.registration.ended = true
+		for _, effect := range added.state.Reduce(Stopping{At: cluster.now}) {
+			_, unregisters := effect.(Unregister)
+			c.Assert(unregisters, qt.IsFalse)
+		}
+	})
+}
+
+// countNotes returns how many notes of a kind all instances have logged.
+func countNotes(cluster *cluster, kind NoteKind) int {
+	count := 0
+	for _, node := range cluster.nodes {
+		for _, note := range node.notes {
+			if note.Kind == kind {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -110,7 +110,7 @@
 		state.handleConfigRead(event)
 	case Registered:
 		state.now = event.At
-		state.registration.handleRegistered(event)
+		state.registration.handleRegistered(event, state.catalog.Revision().Era())
 	case RegisterFailed:
 		state.now = event.At
 		state.registration.handleRegisterFailed(event, state.config.Random())
@@ -236,7 +236,7 @@
 	if stale {
 		kind = NoteStale
 	}
-	state.emit(Note{Kind: kind, Age: state.age(), Version: uint64(state.catalog.Revision())})
+	state.emit(Note{Kind: kind, Age: state.age(), Revision: state.catalog.Revision()})
 }
 
 // handleResumed adds the suspension to the age of the state, as the clock did not advance meanwhile, and ends all
@@ -259,8 +259,8 @@
 	state.stopping = true
 	state.sendUpdates(true)
 	state.relaying.active, state.reading.active = false, false
-	if state.registration.grant.Lease != 0 {
-		state.emit(Unregister{Lease: state.registration.grant.Lease})
+	if state.registration.grant.Lease != 0 && !state.registration.ended {
+		state.emit(Unregister{Grant: state.registration.grant})
 	}
 }
 
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -7,10 +7,39 @@
 	"time"
 )
 
-// Revision is the sequence number of a change in the store.
+// Era counts how often the store was restored from a backup. A restore loses the changes and leases since the backup,
+// and gives out their numbers again.
+type Era uint32
+
+// Revision identifies a state of the store. Revisions are ordered by their eras, and within an era by their numbers.
 type Revision uint64
 
-// Lease identifies a lease; its keys are deleted when it ends. Zero means no lease.
+const (
+	// _numberBits is the size of a revision's number; the bits above hold its era.
+	_numberBits = 40
+	_maxNumber  = 1<<_numberBits - 1
+	_maxEra     = 1<<(64-_numberBits) - 1
+)
+
+// NewRevision returns the revision with a number in an era, or ErrRevisionTooLarge.
+func NewRevision(era Era, number uint64) (Revision, error) {
+	if era > _maxEra || number > _maxNumber {
+		return 0, ErrRevisionTooLarge
+	}
+	return Revision(uint64(era)<<_numberBits | number), nil
+}
+
+// Era returns the era of a revision.
+func (revision Revision) Era() Era {
+	return Era(revision >> _numberBits)
+}
+
+// Number returns the sequence number of a revision in its era.
+func (revision Revision) Number() uint64 {
+	return uint64(revision & _maxNumber)
+}
+
+// Lease identifies a lease within an era; its keys are deleted when it ends. Zero means no lease.
 type Lease uint64
 
 // Item is a key with its value.
@@ -50,19 +79,26 @@
 	Deletes    []string
 }
 
-// Condition requires that a key was last changed at a revision; zero requires that the key does not exist.
+// Condition requires that a key was last changed at a revision of the current era; zero requires that the key does not
+// exist.
 type Condition struct {
 	Key      string
 	Revision Revision
 }
 
-// Grant is a granted lease with its lifetime.
+// Grant is a granted lease with its lifetime. It is valid in the era in which it was granted.
 type Grant struct {
+	Era   Era
 	Lease Lease
 	TTL   time.Duration
 }
 
 var (
+	// ErrRevisionTooLarge says that a revision of the store cannot be represented.
+	ErrRevisionTooLarge = errors.New("the revision's number has over 40 bits or its era over 24")
+	// ErrRestored says that the store was restored from a backup, so that the results of earlier calls are not valid for
+	// this one.
+	ErrRestored = errors.New("store was restored from a backup; list the keys again")
 	// ErrCompacted says that the requested history has been compacted; list the keys again.
 	ErrCompacted = errors.New("requested history was compacted; list the keys again")
 	// ErrConflict says that a condition did not hold and nothing was written.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 
 	"azureshift/core/catalog"
 	core "azureshift/core/entry"
@@ -60,7 +61,7 @@
 		case core.Renew:
 			daemon.post(ctx, daemon.renew(ctx, client, effect))
 		case core.Unregister:
-			daemon.storeCallFailed(client.End(ctx, effect.Lease), _callEnd)
+			daemon.storeCallFailed(client.End(ctx, effect.Grant), _callEnd)
 		case core.Probe:
 			daemon.post(ctx, daemon.probe(ctx, effect))
 		}
@@ -87,7 +88,8 @@
 	asked := daemon.clock.now()
 	history, err := client.Watch(ctx, "", effect.After, effect.Wait)
 	if daemon.storeCallFailed(err, _callWatch) {
-		return core.ReadFailed{At: daemon.clock.now(), Compacted: errors.Is(err, store.ErrCompacted)}
+		historyLost := errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored)
+		return core.ReadFailed{At: daemon.clock.now(), HistoryLost: historyLost}
 	}
 	entries, config := daemon.decode(history.Changes)
 	return core.Followed{
@@ -117,7 +119,7 @@
 	}
 	decoded, err := platform.DecodeConfig(config.Value)
 	if err != nil {
-		daemon.log.LogError(event.ConfigUnreadable, err, event.Fields{"Revision": config.Revision})
+		daemon.log.LogError(event.ConfigUnreadable, err, event.Fields{"Revision": config.Revision.Number()})
 		return entries, nil
 	}
 	return entries, &decoded
@@ -150,7 +152,7 @@
 		daemon.log.LogError(event.RegistrationUnreadable, err, event.Fields{"Key": change.Key})
 		return left
 	}
-	return catalog.Entry{Revision: change.Revision, Instance: &instance}
+	return catalog.Entry{Revision: change.Revision, Instance: &instance, Lease: change.Lease}
 }
 
 func (daemon *Daemon) fetch(ctx context.Context, effect core.Fetch) core.Event {
@@ -185,15 +187,18 @@
 		return core.RegisterFailed{At: daemon.clock.now()}
 	}
 	item := store.Item{Key: _instancePrefix + string(self.Name), Value: value, Lease: grant.Lease}
-	_, err = client.Commit(ctx, store.Transaction{Puts: []store.Item{item}})
+	revision, err := client.Commit(ctx, store.Transaction{Puts: []store.Item{item}})
+	if err == nil && revision.Era() != grant.Era {
+		err = eris.Wrap(store.ErrLeaseEnded, "write the registration")
+	}
 	if daemon.storeCallFailed(err, _callCommit) {
-		return core.RegisterFailed{At: daemon.clock.now()}
+		return core.RegisterFailed{At: daemon.clock.now(), Ended: errors.Is(err, store.ErrLeaseEnded)}
 	}
 	return core.Registered{At: daemon.clock.now(), Grant: grant}
 }
 
 func (daemon *Daemon) renew(ctx context.Context, client *platform.StoreClient, effect core.Renew) core.Event {
-	err := client.Renew(ctx, effect.Grant.Lease)
+	err := client.Renew(ctx, effect.Grant)
 	if daemon.storeCallFailed(err, _callRenew) {
 		return core.RegisterFailed{At: daemon.clock.now(), Ended: errors.Is(err, store.ErrLeaseEnded)}
 	}
--- a/entry/note.go
+++ b/entry/note.go
@@ -14,13 +14,14 @@
 	core.NoteFollower:      event.FollowerChanged,
 	core.NoteInstance:      event.InstanceChanged,
 	core.NoteStoreLost:     event.StoreLost,
-	core.NoteStoreRestored: event.StoreBack,
+	core.NoteStoreBack: event.StoreBack,
 	core.NoteStale:         event.KnowledgeStale,
 	core.NoteFresh:         event.KnowledgeFresh,
 	core.NoteResumed:       event.Suspended,
 	core.NoteCollision:     event.CookieCollision,
 	core.NoteListed:        event.StoreListed,
 	core.NoteListingOld:    event.ListingIgnored,
+	core.NoteStoreRestored:           event.StoreRestored,
 	core.NoteServerSlow:    event.ServerSlow,
 	core.NoteServerUsual:   event.ServerUsual,
 }
@@ -48,8 +49,11 @@
 	if note.Version > 0 {
 		fields["Version"] = note.Version
 	}
+	if note.Revision > 0 {
+		fields["Revision"], fields["Era"] = note.Revision.Number(), note.Revision.Era()
+	}
 	if note.Known > 0 {
-		fields["Known"] = note.Known
+		fields["KnownRevision"], fields["KnownEra"] = note.Known.Number(), note.Known.Era()
 	}
 	daemon.log.Log(_noteEvents[note.Kind], fields)
 }
--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package entry
 
 import (
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -235,4 +235,7 @@
 	ListingIgnored  = defineLimited(1217, "ListingIgnored", _warn,
 		"listing of the metadata store ignored: it is older than the known state",
 		"Expected after a slow answer. If it repeats, the store has lost changes: check its revision and era.")
+	StoreRestored = define(1218, "StoreRestored", _warn,
+		"metadata store was restored from a backup, what it has lost is awaited again",
+		"Check that the operator's last configuration and all backend servers are registered again.")
 )
