Pass on changes that this instance already knows

What callers could see: after a restore, an instance that had restarted kept offering flows to a server that had ended. Class: what others need is judged by one's own state.

Change: the history for others holds all changes of a range. The random faults copy and restore the store, and choose servers by the seed alone, so that a seed repeats.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -216,7 +216,12 @@
 		return nil, true
 	}
 	changed := catalog.apply(interval, entries)
-	catalog.recent = append(catalog.recent, changed...)
+	// Other instances may lack what this one has learned from a listing.
+	for _, entry := range entries {
+		if entry.Revision > catalog.revision {
+			catalog.recent = append(catalog.recent, entry)
+		}
+	}
 	if excess := len(catalog.recent) - catalog.config.MaxRecent; excess > 0 {
 		catalog.recentBase = catalog.recent[excess-1].Revision
 		catalog.recent = slices.Clone(catalog.recent[excess:])
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -203,3 +203,24 @@
 	}
 	return names
 }
+
+// TestRemovalThatIsKnownFromAListing passes a removal on that the instance itself has learned from a listing whose pages
+// were not a snapshot.
+func TestRemovalThatIsKnownFromAListing(t *testing.T) {
+	c := qt.New(t)
+	ahead, behind := New(Config{MaxRecent: 3}), New(Config{MaxRecent: 3})
+	registered := Entry{Revision: 1, Server: &target.Target{ID: "i-a"}}
+	removed := Entry{Revision: 3, MissingServer: "i-a"}
+	for _, catalog := range []*Catalog{ahead, behind} {
+		catalog.ApplyListing(Interval{}, []Entry{registered}, 1)
+	}
+	ahead.ApplyListing(Interval{}, []Entry{removed}, 2)
+	behind.ApplyChanges(Interval{}, 1, nil, 2)
+	ahead.ApplyChanges(Interval{}, 2, []Entry{removed}, 3)
+	changes, ok := ahead.ChangesSince(2)
+	c.Assert(ok, qt.IsTrue)
+	behind.ApplyChanges(Interval{}, 2, changes, 3)
+	record, ok := behind.Server("i-a")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(record.Missing, qt.IsTrue)
+}
--- a/core/entry/random_faults_test.go
+++ b/core/entry/random_faults_test.go
@@ -32,8 +32,9 @@
 	cluster.loss = 0.01
 	cluster.checkFor(5 * time.Second)
 	lastServer := 100
+	copied := cluster.copyStore()
 	for range 40 {
-		cluster.applyRandomEvent(&lastServer)
+		cluster.applyRandomEvent(&lastServer, &copied)
 		cluster.checkFor(time.Duration(cluster.random.IntN(1500)) * time.Millisecond)
 	}
 	cluster.setStoreDown(false)
@@ -43,10 +44,10 @@
 }
 
 // applyRandomEvent makes a random planned change, or injects or ends a random fault.
-func (cluster *cluster) applyRandomEvent(lastServer *int) {
+func (cluster *cluster) applyRandomEvent(lastServer *int, copied *fakeCopy) {
 	nodes := cluster.orderedNodes()
 	node := nodes[cluster.random.IntN(len(nodes))]
-	switch cluster.random.IntN(12) {
+	switch cluster.random.IntN(14) {
 	case 0:
 		cluster.kill(node)
 	case 1, 2:
@@ -74,16 +75,23 @@
 		cluster.store.compacted, cluster.store.history, cluster.store.waiters = cluster.store.revision, nil, nil
 	case 11:
 		cluster.togglePartition()
+	case 12:
+		*copied = cluster.copyStore()
+	case 13:
+		cluster.restoreStore(*copied)
 	}
 }
 
 // drainOrEndServer drains any registered server, or ends it if it is already draining.
 func (cluster *cluster) drainOrEndServer() {
-	for _, entry := range cluster.store.entries {
-		if entry.Server == nil {
+	servers := cluster.orderedServers()
+	cluster.random.Shuffle(len(servers), func(left, right int) {
+		servers[left], servers[right] = servers[right], servers[left]
+	})
+	for _, server := range servers {
+		if _, registered := cluster.store.entries["server/"+string(server.ID)]; !registered {
 			continue
 		}
-		server := cluster.servers[entry.Server.ID]
 		if server.retired {
 			cluster.endServer(server)
 		} else {
