Read a configuration from the instance that has it where the store does not

What callers could see: routes of an older configuration for seconds longer than needed. An instance that hears of a newer configuration than a message holds asks the store for it, and took whatever the store had: after a restore an older one, again and again until the operator repeated it. An instance that the store rejects waited for its timeout first, though it knew that the store was lost.

Both new tests failed before: nothing was fetched.

Change: what the store returns is compared with the version that was announced; if it is older, or the store is known to be lost, the instance that announced it is asked.

--- a/core/entry/fetch.go
+++ b/core/entry/fetch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"azureshift/core/fleet"
+	"azureshift/core/route"
 )
 
 // fetching is the state of fetches from other instances.
@@ -45,30 +46,34 @@
 	}
 }
 
-// readConfig reads a configuration that is too large for a message. It asks the store, which has the most bandwidth. If
-// the store does not answer, handleConfigRead asks the relay.
-func (state *State) readConfig(relay netip.AddrPort) {
+// readConfig reads a version of the configuration that is too large for a message. It asks the store, which has the most
+// bandwidth. If the store does not answer this instance, or lacks the version, it asks the instance that has it.
+func (state *State) readConfig(version route.Version, holder netip.AddrPort) {
 	if state.configReading.pending {
 		return
 	}
-	state.configReading = configReading{pending: true, relay: relay}
+	if state.reading.storeLost {
+		state.fetch(holder)
+		return
+	}
+	state.configReading = configReading{pending: true, version: version, holder: holder}
 	state.emit(ReadConfig{Delay: time.Duration(state.config.Random() * float64(_configReadJitter))})
 }
 
 func (state *State) handleConfigRead(event ConfigRead) {
 	state.configReading.pending = false
-	if event.Config == nil {
-		state.fetch(state.configReading.relay)
-		return
-	}
 	state.configure(event.Config)
+	if state.catalog.Routes().Version < state.configReading.version {
+		state.fetch(state.configReading.holder)
+	}
 }
 
 // configReading is the state of a configuration read.
 type configReading struct {
 	pending bool
-	// relay is the instance to ask if the store does not answer.
-	relay netip.AddrPort
+	// version is the version to be read, and holder an instance that has it.
+	version route.Version
+	holder  netip.AddrPort
 }
 
 func (state *State) handleFetchFailed() {
--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -236,7 +236,7 @@
 	case behind && state.informed() && update.Age < state.age():
 		state.fetch(update.From.Address)
 	case outdated && state.informed():
-		state.readConfig(update.From.Address)
+		state.readConfig(update.Config, update.From.Address)
 	}
 	state.yieldFollower(update.Source, update.Age)
 	if state.relaying.reportedAt == 0 {
--- a/core/entry/restored_test.go
+++ b/core/entry/restored_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"azureshift/core/fleet"
 	"azureshift/core/steer"
 	"azureshift/core/target"
 )
@@ -143,3 +144,47 @@
 	}
 	return count
 }
+
+// updateTo returns an update that names a newer configuration than the receiver has, and that carries no changes.
+func updateTo(receiver, sender *node) fleet.Update {
+	revision := receiver.state.catalog.Revision()
+	return fleet.Update{
+		From: sender.self, Relay: true, Connected: true, Base: revision, Revision: revision,
+		Config: receiver.state.catalog.Routes().Version + 2,
+	}
+}
+
+// assertFetch asserts that an instance is asked for its state, and no other one.
+func assertFetch(c *qt.C, effects []Effect, from *node) {
+	c.Helper()
+	var asked []string
+	for _, effect := range effects {
+		if fetch, ok := effect.(Fetch); ok {
+			asked = append(asked, fetch.From.String())
+		}
+	}
+	c.Assert(asked, qt.DeepEquals, []string{from.self.Address.String()})
+}
+
+// TestConfigThatTheStoreLacks reads a configuration from a store that was restored from a copy without it.
+func TestConfigThatTheStoreLacks(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 22, 2, 1)
+	cluster.checkFor(8 * time.Second)
+	receiver, sender := cluster.orderedNodes()[0], cluster.orderedNodes()[1]
+	older := cluster.store.config
+	receiver.state.Reduce(MessageReceived{At: cluster.now, Message: updateTo(receiver, sender)})
+	effects := receiver.state.Reduce(ConfigRead{At: cluster.now, Config: &older})
+	assertFetch(c, effects, sender)
+}
+
+// TestConfigWhileTheStoreRejectsTheInstance asks the relay at once where the store is known not to answer.
+func TestConfigWhileTheStoreRejectsTheInstance(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 23, 2, 1)
+	cluster.checkFor(8 * time.Second)
+	receiver, sender := cluster.orderedNodes()[0], cluster.orderedNodes()[1]
+	receiver.state.Reduce(ReadFailed{At: cluster.now})
+	effects := receiver.state.Reduce(MessageReceived{At: cluster.now, Message: updateTo(receiver, sender)})
+	assertFetch(c, effects, sender)
+}
