Report a change that the platform wrote under a reused index

What callers of the first path could see: after the platform's key-value service was restored from a backup, a bundle head that was written under an index already reported stayed unknown until the next write.

Cause: the watch compared indexes alone. Same class as the store's revisions: a number whose source may go back. This service names no era, so that the value decides.

Evidence: TestWatchReportsAChangeUnderAReusedIndex never saw the second value before (timed out).

Change: an entry is reported if its index or its value differs.

Measured: tests of io/platform pass. Left: a watch that waits after an index that is given out again returns after its wait, 30 s at most.

--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -99,6 +100,31 @@
 	})
 }
 
+func TestWatchReportsAChangeUnderAReusedIndex(t *testing.T) {
+	c := qt.New(t)
+	values := []string{"MQ==", "Mg==", "Mg=="}
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		value := values[min(calls, len(values)-1)]
+		calls++
+		writer.Header().Set("X-Consul-Index", "7")
+		_, err := fmt.Fprintf(writer, `[{"Key":%q,"Value":%q,"ModifyIndex":7}]`, _key, value)
+		c.Check(err, qt.IsNil)
+	}))
+	c.Cleanup(server.Close)
+	client, err := platform.New(platform.Config{Address: server.URL, MinBackoff: time.Millisecond})
+	c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(t.Context())
+	var seen [][]byte
+	client.Watch(ctx, _key, func(change platform.Change) {
+		c.Check(change.Err, qt.IsNil)
+		if seen = append(seen, change.Entry.Value); len(seen) == 2 {
+			stop()
+		}
+	})
+	c.Assert(string(bytes.Join(seen, []byte(","))), qt.Equals, "1,2")
+}
+
 func TestIdleWatchMakesOneCallPerWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/io/platform/watch.go
+++ b/io/platform/watch.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/url"
@@ -16,7 +17,8 @@
 // Watch calls handle with the current entry of the key and then after each change, until the context ends. Failures are
 // reported too, and are followed by an exponential backoff.
 func (client *Client) Watch(ctx context.Context, key string, handle func(Change)) {
-	var index, reported Index
+	var index Index
+	var reported Entry
 	var failures int
 	first := true
 	for ctx.Err() == nil {
@@ -32,9 +34,10 @@
 			continue
 		}
 		failures = 0
-		if first || entry.Index != reported {
+		// A platform that was restored from a backup may give out an index again.
+		if first || entry.Index != reported.Index || !bytes.Equal(entry.Value, reported.Value) {
 			handle(Change{Entry: entry})
-			first, reported = false, entry.Index
+			first, reported = false, entry
 		} else if time.Since(started) < client.config.MinBackoff {
 			client.pause(ctx, 0)
 		}
