Restore the store in soaks and count restores

The soak takes a copy of the store, brings it back from it after half a second of outage when the fault ends, and repeats the configuration. Restores are counted at the metrics address.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -41,8 +41,8 @@
 }
 
 // confirm reports whether an entry of a later era than the record tells nothing new: it equals the known registration,
-// or the server has announced that it leaves, which is final for a run of a server, and the entry is from a backup of the
-// store. It gives the record the revision of the entry.
+// or it is from a backup of the store and older than the server's announcement that it leaves, which is final for a run
+// of a server. It gives the record the revision of the entry.
 func (record *Record) confirm(entry Entry) bool {
 	if entry.Revision.Era() == record.Revision.Era() {
 		return false
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -204,8 +204,8 @@
 	return names
 }
 
-// TestRemovalThatIsKnownFromAListing passes a removal on that the instance itself has learned from a listing whose pages
-// were not a snapshot.
+// TestRemovalThatIsKnownFromAListing passes a removal on that the instance itself has learned from a listing whose
+// pages were not a snapshot.
 func TestRemovalThatIsKnownFromAListing(t *testing.T) {
 	c := qt.New(t)
 	ahead, behind := New(Config{MaxRecent: 3}), New(Config{MaxRecent: 3})
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -205,8 +205,8 @@
 	}
 }
 
-// restoreStore brings the store back from a copy, in a new era. The operator and the backend servers write again what is
-// lost, in a random order within _rewriteTime.
+// restoreStore brings the store back from a copy, in a new era. The operator and the backend servers write again what
+// is lost, in a random order within _rewriteTime.
 func (cluster *cluster) restoreStore(copied fakeCopy) {
 	lost, config := cluster.store.entries, cluster.store.config
 	revision, err := store.NewRevision(cluster.store.revision.Era()+1, copied.revision.Number())
--- a/core/entry/fetch.go
+++ b/core/entry/fetch.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// readConfig reads a version of the configuration that is too large for a message. It asks the store, which has the most
-// bandwidth. If the store does not answer this instance, or lacks the version, it asks the instance that has it.
+// readConfig reads a version of the configuration that is too large for a message. It asks the store, which has the
+// most bandwidth. If the store does not answer this instance, or lacks the version, it asks the instance that has it.
 func (state *State) readConfig(version route.Version, holder netip.AddrPort) {
 	if state.configReading.pending {
 		return
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,7 @@
 	flowsAbandoned   tally.Counter
 	storeCalls       map[storeCall]tally.Counter
 	storeFailures    tally.Counter
+	storeRestores    tally.Counter
 	probes           tally.Counter
 	peerBytes        tally.Counter
 	eventsLost       tally.Counter
@@ -74,6 +75,7 @@
 		created.storeCalls[call] = scope.Tagged(map[string]string{"Call": string(call)}).Counter("store_calls_total")
 	}
 	created.storeFailures = scope.Counter("store_failures_total")
+	created.storeRestores = scope.Counter("store_restores_total")
 	created.probes = scope.Counter("probes_total")
 	created.peerBytes = scope.Counter("peer_bytes_total")
 	created.eventsLost = scope.Counter("events_lost_total")
--- a/entry/note.go
+++ b/entry/note.go
@@ -14,14 +14,14 @@
 	core.NoteFollower:      event.FollowerChanged,
 	core.NoteInstance:      event.InstanceChanged,
 	core.NoteStoreLost:     event.StoreLost,
-	core.NoteStoreBack: event.StoreBack,
+	core.NoteStoreBack:     event.StoreBack,
 	core.NoteStale:         event.KnowledgeStale,
 	core.NoteFresh:         event.KnowledgeFresh,
 	core.NoteResumed:       event.Suspended,
 	core.NoteCollision:     event.CookieCollision,
 	core.NoteListed:        event.StoreListed,
 	core.NoteListingOld:    event.ListingIgnored,
-	core.NoteStoreRestored:           event.StoreRestored,
+	core.NoteStoreRestored: event.StoreRestored,
 	core.NoteServerSlow:    event.ServerSlow,
 	core.NoteServerUsual:   event.ServerUsual,
 }
@@ -55,5 +55,8 @@
 	if note.Known > 0 {
 		fields["KnownRevision"], fields["KnownEra"] = note.Known.Number(), note.Known.Era()
 	}
+	if note.Kind == core.NoteStoreRestored {
+		daemon.metrics.storeRestores.Inc(1)
+	}
 	daemon.log.Log(_noteEvents[note.Kind], fields)
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,6 +24,8 @@
 const (
 	// _drainDuration is how long a draining server continues to serve.
 	_drainDuration = 3 * time.Second
+	// _restoreOutage is how long the store is down before it comes back from a copy.
+	_restoreOutage = 500 * time.Millisecond
 	// _clockStep is the offset of a server's wall clock after a step: over forty minutes, as clocks on the platform
 	// step.
 	_clockStep = 2500 * time.Second
@@ -42,6 +44,7 @@
 		{"StoreSlow", storeFault(metastore.Faults{Delay: 250 * time.Millisecond})},
 		{"StoreLosesWrites", storeFault(metastore.Faults{LoseWrites: 0.5, LateWrites: 3 * time.Second})},
 		{"StoreForgets", compactStore},
+		{"StoreRestored", restoreStore},
 		{"StoreRefusesInstance", refuseInstance},
 		{"RegistrationsRevoked", revokeRegistrations},
 		{"StoreCut", storeNetworkFault(proxy.Fault{CutToTarget: true, CutFromTarget: true})},
@@ -202,6 +205,25 @@
 	return endDisturbance
 }
 
+// restoreStore takes a copy of the store, and brings the store back from it when the fault ends, after a short outage.
+// The operator then repeats the configuration.
+func restoreStore(soak *soak, _ *rand.Rand) func() {
+	if !soak.lock(soak.deployment.Store) {
+		return nil
+	}
+	copied := soak.deployment.Store.Copy()
+	return func() {
+		endDisturbance := soak.faultLog.disturbStore()
+		soak.deployment.Store.SetFaults(metastore.Faults{Mode: metastore.Reset})
+		time.Sleep(_restoreOutage)
+		soak.deployment.Store.Restore(copied)
+		soak.deployment.Store.SetFaults(metastore.Faults{})
+		soak.deployment.RepeatConfiguration()
+		endDisturbance()
+		soak.unlock(soak.deployment.Store)
+	}
+}
+
 func refuseInstance(soak *soak, random *rand.Rand) func() {
 	instance := soak.lockInstance(random)
 	if instance == nil {
--- a/testbed/operator.go
+++ b/testbed/operator.go
@@ -20,6 +20,11 @@
 	testbed.writeConfig()
 }
 
+// RepeatConfiguration publishes the latest configuration again, as after a restore of the store that has lost it.
+func (testbed *Testbed) RepeatConfiguration() {
+	testbed.writeConfig()
+}
+
 // Version returns the version of the latest configuration.
 func (testbed *Testbed) Version() int {
 	testbed.mu.Lock()
