Keep a lease whose renewal meets a restored store

Cause: a renewal answered in a later era was reported as the end of the lease, though the backup may have it. The listing decides that.

Change: such a renewal fails with ErrRestored and is retried; the listing of the new era keeps or replaces the lease.

--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -190,10 +190,10 @@
 		cluster.schedule(node, _callTimeout, func() Event { return RegisterFailed{At: cluster.now} })
 		return
 	}
-	ended := effect.Grant.Era != cluster.store.revision.Era()
+	restored := effect.Grant.Era != cluster.store.revision.Era()
 	cluster.schedule(node, _storeDelay, func() Event {
-		if ended {
-			return RegisterFailed{At: cluster.now, Ended: true}
+		if restored {
+			return RegisterFailed{At: cluster.now}
 		}
 		return Registered{At: cluster.now, Grant: effect.Grant}
 	})
--- a/core/entry/restored_test.go
+++ b/core/entry/restored_test.go
@@ -188,3 +188,16 @@
 	effects := receiver.state.Reduce(MessageReceived{At: cluster.now, Message: updateTo(receiver, sender)})
 	assertFetch(c, effects, sender)
 }
+
+// TestRenewalDuringARestore renews a lease before the instance learns of the restore, which has kept the lease.
+func TestRenewalDuringARestore(t *testing.T) {
+	c := qt.New(t)
+	cluster := restoredCluster(c, func(*cluster) {})
+	kept := cluster.orderedNodes()[0]
+	grant := kept.state.registration.grant
+	kept.state.registration.renewedAt = -time.Minute
+	kept.state.Reduce(RegisterFailed{At: cluster.now})
+	cluster.checkFor(4 * time.Second)
+	c.Assert(kept.state.registration.grant.Lease, qt.Equals, grant.Lease)
+	c.Assert(kept.state.registration.grant.Era, qt.Equals, grant.Era+1)
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -96,8 +96,8 @@
 var (
 	// ErrRevisionTooLarge says that a revision of the store cannot be represented.
 	ErrRevisionTooLarge = errors.New("the revision's number has over 40 bits or its era over 24")
-	// ErrRestored says that the store was restored from a backup, so that the results of earlier calls are not valid for
-	// this one.
+	// ErrRestored says that the store was restored from a backup, so that revisions and leases of earlier calls may be
+	// those of other changes and leases now.
 	ErrRestored = errors.New("store was restored from a backup; list the keys again")
 	// ErrCompacted says that the requested history has been compacted; list the keys again.
 	ErrCompacted = errors.New("requested history was compacted; list the keys again")
--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -21,8 +21,8 @@
 		version, 1000+version), 0)
 }
 
-// TestConfigWrittenUnderAReusedRevision restores the store from a copy that is two changes old. The operator repeats the
-// last configuration, and the next one gets the revision that the instance already knows.
+// TestConfigWrittenUnderAReusedRevision restores the store from a copy that is two changes old. The operator repeats
+// the last configuration, and the next one gets the revision that the instance already knows.
 func TestConfigWrittenUnderAReusedRevision(t *testing.T) {
 	c := qt.New(t)
 	store := metastore.New(metastore.Config{})
