Reset packets for unknown servers only on a table that is newer

Cause: edge-mxc-b-1 began a planned stop at 23.00 s and got no more updates. A server registered at 23.13 s, a flow to it was opened through another instance at 23.47 s, and at 23.91 s a packet of it reached the stopping one, whose table was confirmed at 22.82 s: younger than 2.5 s, so that a server missing from it counted as gone. A lost update has the same effect on any instance. Class: evidence that is older than what it is to refute.

Change: an instance notes when it first saw a packet for an unknown server, and resets only on a table that was confirmed after that. At most 1,024 such servers are noted for 10 s.

The part of applyEntries that takes registrations for signs of life is a function of its own, so that restores can leave it out.

--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -112,7 +112,7 @@
 	case revision.Era() > known.Era():
 		state.handleRestored(known)
 		state.note(changed)
-		state.applyRestored(changed)
+		state.applyEntries(changed)
 	default:
 		if state.massLapse(changed) {
 			state.noteDisruption()
@@ -268,6 +268,7 @@
 // noteAndApply logs changes of the catalog and applies them.
 func (state *State) noteAndApply(entries []catalog.Entry) {
 	state.note(entries)
+	state.markAlive(entries)
 	state.applyEntries(entries)
 }
 
@@ -290,22 +291,21 @@
 		}
 	}
 	state.emit(note)
+	state.markAlive(entries)
 	state.applyEntries(entries)
 }
 
-// applyEntries updates the rest of the state after changes of the catalog.
-func (state *State) applyEntries(entries []catalog.Entry) {
+// markAlive uses dead servers again that have registered. A registration from a backup of the store is no such sign.
+func (state *State) markAlive(entries []catalog.Entry) {
 	for _, entry := range entries {
 		if entry.Server != nil {
 			state.applyConditionChanges(state.detector.HandleRegistration(entry.Server.ID))
 		}
 	}
-	state.applyRestored(entries)
 }
 
-// applyRestored updates the rest of the state after changes of the catalog by a restore of the store. A registration
-// from a backup does not show that its server is alive, so that dead servers are probed before they are used again.
-func (state *State) applyRestored(entries []catalog.Entry) {
+// applyEntries updates the rest of the state after changes of the catalog.
+func (state *State) applyEntries(entries []catalog.Entry) {
 	registered := false
 	for _, entry := range entries {
 		state.publishing.changed, state.relaying.changed = true, true
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -15,6 +15,9 @@
 	// _maxTableAge is the age of the table up to which a route or server missing from it is known not to exist. It covers
 	// the pause between two confirmations of an undisturbed instance.
 	_maxTableAge = 2500 * time.Millisecond
+	// _maxUnknown is the largest number of unknown servers that are remembered, and _unknownRetention how long they are.
+	_maxUnknown       = 1024
+	_unknownRetention = 10 * time.Second
 	// _openingTimeout is how long a client tries to open a flow.
 	_openingTimeout = 1400 * time.Millisecond
 	// _minIdleTimeout is the lower bound of the operator's idle timeout.
@@ -35,6 +38,8 @@
 	reportedInProgress float64
 	// inProgress is the number of pending requests and half-open flows.
 	inProgress int
+	// unknownSince holds when packets for unknown servers were first seen.
+	unknownSince map[packet.Cookie]time.Duration
 }
 
 // New returns a Steering without flows and with an empty table.
@@ -44,6 +49,8 @@
 		flows:    make(map[packet.Flow]*flow),
 		counters: make(map[packet.Cookie]*counters),
 		demands:  make(map[id.Service]*demand),
+
+		unknownSince: make(map[packet.Cookie]time.Duration),
 	}
 }
 
@@ -126,16 +133,32 @@
 	return decision
 }
 
-// unknownServer decides on a packet whose cookie names an unknown server. If every live server is known, that server
-// has left and the reset lets the client open a new flow immediately. A packet without data needs no answer.
+// unknownServer decides on a packet whose cookie names an unknown server. If the table was confirmed after the first
+// such packet and every live server is known, that server has left, and the reset lets the client open a new flow
+// without waiting for its deadline. An earlier table may lack a server that has just registered. A packet without data
+// needs no answer.
 func (steering *Steering) unknownServer(now time.Duration, header packet.Header) Decision {
 	table := steering.table
-	if header.Length > 0 && table.AllRegistered && now-table.ConfirmedAt < _maxTableAge {
+	since, seen := steering.unknownSince[header.Cookie]
+	if !seen && len(steering.unknownSince) < _maxUnknown {
+		steering.unknownSince[header.Cookie] = now
+	}
+	confirmed := seen && table.ConfirmedAt > since && now-table.ConfirmedAt < _maxTableAge
+	if header.Length > 0 && table.AllRegistered && confirmed {
 		return Decision{Action: Reset, Reason: ServerGone}
 	}
 	return Decision{Action: Drop, Reason: UnknownServer}
 }
 
+// forgetUnknown removes unknown servers that were first seen long ago, as another server may have their cookie by now.
+func (steering *Steering) forgetUnknown(now time.Duration) {
+	for cookie, since := range steering.unknownSince {
+		if now-since > _unknownRetention {
+			delete(steering.unknownSince, cookie)
+		}
+	}
+}
+
 // retryable reports whether the client may retry a request of the flow that got no answer.
 func (steering *Steering) retryable(key packet.Flow) bool {
 	configured, ok := steering.table.Routes[key.Service]
--- a/core/steer/track.go
+++ b/core/steer/track.go
@@ -168,6 +168,7 @@
 // Expire removes flows that have been idle for too long, stops counting requests as pending that their clients have
 // given up, and counts the flows that clients use. It is to be called about once a second.
 func (steering *Steering) Expire(now time.Duration) {
+	steering.forgetUnknown(now)
 	for _, demand := range steering.demands {
 		demand.activeFlows = 0
 	}
