--- a/core/entry/restored_test.go
+++ b/core/entry/restored_test.go
@@ -34,9 +34,18 @@
 	}
 }
 
-// conditionAt returns the condition of a server in the table of an instance.
-func conditionAt(node *node, server *backend) steer.Condition {
-	return node.table.Servers[target.CookieOf(server.Number)].Condition
+// assertConditionFor runs the cluster and asserts that all instances always hold a server in a condition.
+func assertConditionFor(
+	c *qt.C, cluster *cluster, server *backend, condition steer.Condition, span time.Duration,
+) {
+	c.Helper()
+	for end := cluster.now + span; cluster.now < end; {
+		cluster.runFor(50 * time.Millisecond)
+		for _, node := range cluster.orderedNodes() {
+			held := node.table.Servers[target.CookieOf(server.Number)].Condition
+			c.Assert(held, qt.Equals, condition, qt.Commentf("%s at %s", node.self.Name, cluster.now))
+		}
+	}
 }
 
 func TestStoreRestoredFromACopy(t *testing.T) {
@@ -59,22 +68,12 @@
 			leaving = cluster.servers["i-00000001"]
 			cluster.drainServer(leaving)
 		})
-		for range 60 {
-			cluster.runFor(50 * time.Millisecond)
-			for _, node := range cluster.orderedNodes() {
-				c.Assert(conditionAt(node, leaving), qt.Equals, steer.Leaving, qt.Commentf("%s at %s", node.self.Name, cluster.now))
-			}
-		}
+		assertConditionFor(c, cluster, leaving, steer.Leaving, 3*time.Second)
 	})
 	c.Run("keeps offering flows to a server whose registration was lost", func(c *qt.C) {
 		var joined *backend
 		cluster := restoredCluster(c, func(cluster *cluster) { joined = cluster.addServer("a", 99) })
-		for range 100 {
-			cluster.runFor(50 * time.Millisecond)
-			for _, node := range cluster.orderedNodes() {
-				c.Assert(conditionAt(node, joined), qt.Equals, steer.Usable, qt.Commentf("%s at %s", node.self.Name, cluster.now))
-			}
-		}
+		assertConditionFor(c, cluster, joined, steer.Usable, 5*time.Second)
 	})
 	c.Run("does not take a dead server for alive because the copy has it", func(c *qt.C) {
 		var dead *backend
@@ -83,12 +82,7 @@
 			dead.alive = false
 			cluster.lapseRegistration(dead)
 		})
-		for range 100 {
-			cluster.runFor(50 * time.Millisecond)
-			for _, node := range cluster.orderedNodes() {
-				c.Assert(conditionAt(node, dead), qt.Equals, steer.Dead, qt.Commentf("%s at %s", node.self.Name, cluster.now))
-			}
-		}
+		assertConditionFor(c, cluster, dead, steer.Dead, 5*time.Second)
 	})
 	c.Run("logs the restore once and no server that did not change", func(c *qt.C) {
 		cluster := restoredCluster(c, func(*cluster) {})
