Close the connection of an exchange that failed

What instances of the first path saw: an exchange with a peer could fail at once with the deadline of an earlier one.

Cause: a connection went back to the cache after any exchange. The library ends one whose context is done a moment later, with the context's error, which the next exchange on it got.

Change: a connection is kept only if its exchange completed, with an answer or a refusal by the peer.

--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -96,14 +96,17 @@
 		}
 	}
 	answer, err := wire.NewDRPCPeerClient(connection).Exchange(ctx, request)
-	connectionPool.release(to.AddrPort, connection, len(request.GetBody())+len(answer.GetBody()))
-	if err == nil {
-		return answer, nil
+	code := drpcerr.Code(err)
+	if err != nil && code == 0 {
+		// The connection may fail later with the error of this exchange.
+		_ = connection.Close()
+		return nil, ExchangeError{Address: to.AddrPort, Cause: err}
 	}
-	if code := drpcerr.Code(err); code != 0 {
+	connectionPool.release(to.AddrPort, connection, len(request.GetBody())+len(answer.GetBody()))
+	if err != nil {
 		return nil, RemoteError{Member: to.Member, Refusal: Refusal(code), Text: err.Error()}
 	}
-	return nil, ExchangeError{Address: to.AddrPort, Cause: err}
+	return answer, nil
 }
 
 // release caches a connection for the next exchange. It closes connections that carried large messages, as both sides
