Review: list violations in the order of their requests

Cause: the record sorted violations by their text, so the first one shown was not the earliest. Change: attempts are sorted by the time at which they were sent.

--- a/review/scenario/deployment.go
+++ b/review/scenario/deployment.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -123,10 +124,13 @@
 	}
 }
 
+// allAttempts returns the attempts that have ended, in the order in which they were sent.
 func (deployment *deployment) allAttempts() []attempt {
 	deployment.mu.Lock()
 	defer deployment.mu.Unlock()
-	return append([]attempt(nil), deployment.attempts...)
+	attempts := slices.Clone(deployment.attempts)
+	slices.SortFunc(attempts, func(left, right attempt) int { return left.SentAt.Compare(right.SentAt) })
+	return attempts
 }
 
 // waitForFollower waits until all instances are ready and one of them follows the store.
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"sort"
 	"strings"
 	"syscall"
 	"time"
@@ -80,7 +79,6 @@
 		deployment.note("the case could not run: %v", err)
 		return _exitFailed
 	}
-	sort.Strings(violations)
 	const shown = 40
 	for _, violation := range violations[:min(len(violations), shown)] {
 		deployment.note("VIOLATION %s", violation)
