--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,6 @@
   echo "run the build of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
+# TROUBLE=0 leaves the disruption out.
+export TROUBLE="${TROUBLE:-1}"
 exec review/bin/scenario -case silent-leave -record "$here/record.txt"
