Read a missing configuration until an instance has it

Cause: an update advances an instance's revision past a configuration that is too large for a message and is read apart. When that read failed and its holder was gone, nothing asked again: later watches begin after the configuration, and the empty answers confirmed the state as the newest. An instance that got the revision from such a one did not even know that a version exists.

Ruled out: a revision that covers the configuration too would make an instance list the whole store for each large configuration.

Change: an instance keeps the newest version that it knows to exist and does not confirm its state while it lacks that version. It reads the store and asks the holder in turn, with the usual backoff, until it has it. Updates and views name the missing version, so that whoever gets the revision gets the knowledge as well. A version that neither a restored store nor its holder has is given up; ConfigMissing and ConfigLost say so in the log.

--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -86,6 +86,7 @@
 		servers: make(map[id.Target]*backend),
 		store: fakeStore{
 			entries: make(map[string]catalog.Entry), refused: make(map[id.Instance]bool),
+			silentReads: make(map[id.Instance]bool),
 			disruptedAt: -time.Hour,
 		},
 		partitioned: func(id.Domain, id.Domain) bool { return false },
--- /dev/null
+++ b/core/entry/configread_test.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azureshift/core/catalog"
+	"azureshift/core/fleet"
+	"azureshift/core/route"
+)
+
+// follower returns the instance that follows the store.
+func (cluster *cluster) follower() *node {
+	for _, node := range cluster.orderedNodes() {
+		if node.alive && node.state.reading.active {
+			return node
+		}
+	}
+	cluster.c.Fatal("no instance follows the store")
+	return nil
+}
+
+// assertConfiguredBy runs the cluster until a time and asserts that all live instances have the newest configuration.
+func assertConfiguredBy(c *qt.C, cluster *cluster, at time.Duration) {
+	c.Helper()
+	cluster.runFor(at - cluster.now)
+	for _, node := range cluster.orderedNodes() {
+		if node.alive {
+			c.Assert(node.table.Version, qt.Equals, cluster.store.config.Version, qt.Commentf("%s", node.self.Name))
+		}
+	}
+}
+
+// TestConfigurationWhoseHolderLeaves guards against an accepted configuration that never comes into force: the revision
+// of the instances has passed it, their reads of the store got no answer, and the one instance that had it has left.
+func TestConfigurationWhoseHolderLeaves(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(10) {
+		cluster := startCluster(c, 300+seed, 2, 4)
+		cluster.checkFor(8 * time.Second)
+		follower := cluster.follower()
+		cluster.silenceConfigReads(follower)
+		cluster.configureLarge(20)
+		limit := cluster.now + _drainLimit
+		cluster.runFor(500 * time.Millisecond)
+		cluster.kill(follower)
+		assertConfiguredBy(c, cluster, limit)
+		cluster.checkFor(4 * time.Second)
+	}
+}
+
+// TestConfigurationBehindALostMessage guards against an instance that counts itself up to date because the one from
+// which it has the revision lacks the configuration as well.
+func TestConfigurationBehindALostMessage(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 311, 2, 4)
+	cluster.checkFor(8 * time.Second)
+	node := cluster.follower()
+	for _, other := range cluster.orderedNodes() {
+		if other != node && other.self.Domain != node.self.Domain {
+			node = other
+			break
+		}
+	}
+	state := node.state
+	update := fleet.Update{
+		From: catalog.Instance{Name: "x-1", Domain: "x", Address: node.self.Address}, Base: state.catalog.Revision(),
+		Revision: state.catalog.Revision() + 1, Config: state.catalog.Routes().Version, Missing: 20,
+	}
+	before := state.reading.confirmedAt
+	effects := state.Reduce(MessageReceived{At: cluster.now + 1, Message: update})
+	c.Run("reads it from the store", func(c *qt.C) {
+		c.Assert(countReads(effects), qt.Equals, 1)
+	})
+	c.Run("names it to others", func(c *qt.C) {
+		c.Assert(state.updateFor(fleet.Receiver{}).Missing, qt.Equals, route.Version(20))
+		c.Assert(state.View(cluster.now, StateID{}).Missing, qt.Equals, route.Version(20))
+	})
+	c.Run("does not count its state as the newest", func(c *qt.C) {
+		followed := Followed{
+			At: cluster.now + 2, RequestedAt: cluster.now + 1, After: update.Revision, Revision: update.Revision,
+		}
+		state.Reduce(followed)
+		c.Assert(state.reading.confirmedAt, qt.Equals, before)
+	})
+	c.Run("asks again after a failure", func(c *qt.C) {
+		state.Reduce(ConfigRead{At: cluster.now + 3})
+		c.Assert(countReads(state.Reduce(Tick{At: cluster.now + _maxBackoff})), qt.Equals, 1)
+	})
+	c.Run("forgets it if the store and the holder have an older one", func(c *qt.C) {
+		older := state.catalog.Routes()
+		state.Reduce(ConfigRead{At: cluster.now + _maxBackoff + 1, Config: &older})
+		c.Assert(state.missingConfig(), qt.Equals, route.Version(0))
+	})
+}
+
+func countReads(effects []Effect) int {
+	count := 0
+	for _, effect := range effects {
+		if _, ok := effect.(ReadConfig); ok {
+			count++
+		}
+	}
+	return count
+}
--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -102,6 +102,10 @@
 	NoteCondition
 	// NoteConfig is a configuration that came into force.
 	NoteConfig
+	// NoteConfigMissing is a configuration that is in force elsewhere and that this instance begins to read.
+	NoteConfigMissing
+	// NoteConfigLost is a configuration that was in force elsewhere and that neither the store nor an instance has any more.
+	NoteConfigLost
 	// NoteRelay is the beginning or end of this instance's role as a relay.
 	NoteRelay
 	// NoteFollower is the beginning or end of this instance's role as the follower.
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -169,6 +169,8 @@
 	// Config is the configuration of the given version. It is empty if the other instance already has that version.
 	Config  route.Config  `cbor:"4,keyasint"`
 	Version route.Version `cbor:"9,keyasint"`
+	// Missing is the newest version that the sender knows to exist if it does not have that one, or zero.
+	Missing route.Version `cbor:"10,keyasint,omitempty"`
 	// Age is the time since the sender's state was last confirmed to be the newest.
 	Age time.Duration `cbor:"5,keyasint"`
 	// StableFor is the time since the last store disruption that the sender knows of, or negative if it does not know.
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -27,6 +27,8 @@
 	// resets says that calls fail at once while the store is down, rather than time out.
 	resets  bool
 	refused map[id.Instance]bool
+	// silentReads holds the instances whose next read of the configuration gets no answer.
+	silentReads map[id.Instance]bool
 	calls   int
 	// disruptedAt is the time of the last disruption, and configuredAt that of the last configuration change.
 	disruptedAt  time.Duration
@@ -158,9 +160,30 @@
 	})
 }
 
+// configureLarge writes a configuration with more changes than fit into a message.
+func (cluster *cluster) configureLarge(version route.Version) {
+	config := route.Config{Version: version, IdleTimeout: 15 * time.Second}
+	for port := range uint16(_maxDeltaSize + 1) {
+		config.Routes = append(config.Routes, route.Route{
+			Endpoint: packet.Endpoint{Port: 443 + port}, Kind: route.Idempotent, Timeout: time.Duration(version) * time.Second,
+			Shares: []route.Share{{Service: "chiosco", Weight: 1}},
+		})
+	}
+	cluster.write("", catalog.Entry{}, &config)
+}
+
+// silenceConfigReads lets the next read of the configuration go unanswered at all instances but one.
+func (cluster *cluster) silenceConfigReads(except *node) {
+	for _, node := range cluster.orderedNodes() {
+		cluster.store.silentReads[node.self.Name] = node != except
+	}
+}
+
 func (cluster *cluster) readConfig(node *node, effect ReadConfig) {
 	cluster.store.calls++
-	if !cluster.reachesStore(node) {
+	silent := cluster.store.silentReads[node.self.Name]
+	delete(cluster.store.silentReads, node.self.Name)
+	if silent || !cluster.reachesStore(node) {
 		cluster.schedule(node, _callTimeout, func() Event { return ConfigRead{At: cluster.now} })
 		return
 	}
--- a/core/entry/fetch.go
+++ b/core/entry/fetch.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"azureshift/core/fleet"
-	"azureshift/core/route"
 )
 
 // fetching is the state of fetches from other instances.
@@ -46,43 +45,16 @@
 	}
 }
 
-// readConfig reads a version of the configuration that is too large for a message. It asks the store, which has the
-// most bandwidth. If the store does not answer this instance, or lacks the version, it asks the instance that has it.
-func (state *State) readConfig(version route.Version, holder netip.AddrPort) {
-	if state.configReading.pending {
-		return
-	}
-	if state.reading.storeLost {
-		state.fetch(holder)
-		return
-	}
-	state.configReading = configReading{pending: true, version: version, holder: holder}
-	state.emit(ReadConfig{Delay: time.Duration(state.config.Random() * float64(_configReadJitter))})
-}
-
-func (state *State) handleConfigRead(event ConfigRead) {
-	state.configReading.pending = false
-	state.configure(event.Config)
-	if state.catalog.Routes().Version < state.configReading.version {
-		state.fetch(state.configReading.holder)
-	}
-}
-
-// configReading is the state of a configuration read.
-type configReading struct {
-	pending bool
-	// version is the version to be read, and holder an instance that has it.
-	version route.Version
-	holder  netip.AddrPort
-}
-
 func (state *State) handleFetchFailed() {
 	state.fetching.pending = false
+	state.dropLostConfig()
 }
 
 func (state *State) handleFetched(event Fetched) {
 	state.fetching.pending = false
 	view := event.View
+	defer state.dropLostConfig()
+	state.expectConfig(view.Version, view.Missing, event.From)
 	if view.Revision == 0 || view.Revision < state.catalog.Revision() {
 		state.configure(&view.Config)
 		return
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -338,9 +338,13 @@
 	state.emit(Note{Kind: NoteConfig, Age: state.age(), Version: state.catalog.Routes().Version})
 }
 
-// confirm records that the state was the newest at a time. A time before the last suspension is longer ago than the
-// clock shows: answers and messages that were on their way are delivered when the machine resumes.
+// confirm records that the state was the newest at a time, unless this instance lacks a configuration: the store's
+// revision does not show that. A time before the last suspension is longer ago than the clock shows: answers and
+// messages that were on their way are delivered when the machine resumes.
 func (state *State) confirm(asOf time.Duration) {
+	if state.missingConfig() != 0 {
+		return
+	}
 	if state.reading.resumedAt > 0 && asOf < state.reading.resumedAt {
 		asOf -= state.reading.suspended
 	}
--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -177,6 +177,7 @@
 		Base:      state.catalog.Revision(),
 		Revision:  state.catalog.Revision(),
 		Config:    state.catalog.Routes().Version,
+		Missing:   state.missingConfig(),
 		Age:       state.age(),
 		StableFor: state.knownStableFor(),
 	}
@@ -228,15 +229,15 @@
 	if update.Delta != nil && state.catalog.ApplyDelta(*update.Delta) {
 		state.noteConfig()
 	}
-	outdated := state.catalog.Routes().Version < update.Config
+	state.expectConfig(update.Config, update.Missing, update.From.Address)
 	behind := state.catalog.Revision() < update.Revision
 	switch {
-	case !behind && !outdated:
+	case !behind && state.missingConfig() == 0:
 		state.adoptFreshness(update)
 	case behind && state.informed() && update.Age < state.age():
 		state.fetch(update.From.Address)
-	case outdated && state.informed():
-		state.readConfig(update.Config, update.From.Address)
+	default:
+		state.readConfigIfDue()
 	}
 	state.yieldFollower(update.Source, update.Age)
 	if state.relaying.reportedAt == 0 {
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -158,6 +158,7 @@
 	}
 	state.readStoreIfDue()
 	state.fetchIfDue()
+	state.readConfigIfDue()
 	state.registerIfDue()
 	state.updateRelayRole()
 	state.probeIfDue()
@@ -281,6 +282,7 @@
 		From:      state.config.Self,
 		Revision:  state.catalog.Revision(),
 		Version:   state.catalog.Routes().Version,
+		Missing:   state.missingConfig(),
 		Age:       now - state.reading.confirmedAt,
 		StableFor: state.knownStableFor(),
 		Source:    state.reading.source,
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -36,6 +36,8 @@
 	// the receiver reported, if it is small.
 	Config route.Version `cbor:"6,keyasint"`
 	Delta  *route.Delta  `cbor:"10,keyasint,omitempty"`
+	// Missing is the newest version that the sender knows to exist if it does not have that one, or zero.
+	Missing route.Version `cbor:"14,keyasint,omitempty"`
 	// Age is the time since the sender's data was last confirmed to be up to date.
 	Age time.Duration `cbor:"7,keyasint"`
 	// StableFor is how long the store has been free of trouble as far as the sender knows, or negative if unknown.
--- a/entry/note.go
+++ b/entry/note.go
@@ -10,6 +10,8 @@
 	core.NoteServer:        event.ServerChanged,
 	core.NoteCondition:     event.ServerJudged,
 	core.NoteConfig:        event.ConfigApplied,
+	core.NoteConfigMissing: event.ConfigMissing,
+	core.NoteConfigLost:    event.ConfigLost,
 	core.NoteRelay:         event.RelayChanged,
 	core.NoteFollower:      event.FollowerChanged,
 	core.NoteInstance:      event.InstanceChanged,
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -238,4 +238,7 @@
 	StoreRestored = define(1218, "StoreRestored", _warn,
 		"metadata store was restored from a backup, what it has lost is awaited again",
 		"Check that the operator's last configuration and all backend servers are registered again.")
+	ConfigMissing = define(1219, "ConfigMissing", _info, "configuration is in force elsewhere and is read", _noRemedy)
+	ConfigLost    = define(1220, "ConfigLost", _warn, "neither the metadata store nor an instance has a configuration any more",
+		"Write the operator's last configuration again.")
 )
