Repeat a read of the store whose open connection is silent

Cause: the read of a configuration may hang for 3 s, as long as the bound that it serves, and nothing but that time limit tells that a connection is silent. The second idle connection could make the next call hang as well.

Change: a read whose connection has worked before and is silent for a sixth of the strictest limit (0.5 s of 3 s) is repeated on a new connection, and the first answer counts. Silence of a new connection is no reason, so that a store that is slow or down gets no second call. Idle connections are closed then, and after any failed call. Writes are not repeated: they may have been applied. An instance whose updates are late asks for changes without waiting for one, as 1.8 s of its limit have passed.

Counted in azureshift_store_reads_repeated_total, logged as ConnectionSilent.

--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -41,6 +41,11 @@
 	// _followWaitFraction is the fraction of the strictest limit for which the follower's long poll waits for a change.
 	// It is also the interval at which the follower learns that nothing has changed.
 	_followWaitFraction = 0.25
+	// _patienceFraction is the fraction of the strictest limit for which an open connection to the store may be silent.
+	// The rest of the limit covers a direct read on a new connection.
+	_patienceFraction = 1.0 / 6
+	// _minPatience keeps very strict limits from repeating the calls of a store that is merely slow.
+	_minPatience = 200 * time.Millisecond
 	// _batchFraction is the fraction of the strictest limit for which the follower lets changes accumulate before it
 	// polls again. Each call to the store is paid for, and a rolling replacement of servers changes many registrations.
 	_batchFraction = 0.07
--- a/core/entry/configread.go
+++ b/core/entry/configread.go
@@ -58,7 +58,8 @@
 		return
 	}
 	reading.pending = true
-	state.emit(ReadConfig{Delay: time.Duration(state.config.Random() * float64(_configReadJitter))})
+	delay := time.Duration(state.config.Random() * float64(_configReadJitter))
+	state.emit(ReadConfig{Delay: delay, Patience: state.patience()})
 }
 
 func (state *State) handleConfigRead(event ConfigRead) {
--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -18,13 +18,18 @@
 type Effect interface{ effect() }
 
 // List asks for a listing of the store. Its result is a Listed or ReadFailed.
-type List struct{}
+type List struct {
+	// Patience is how long an open connection may be silent before the read is repeated on a new one.
+	Patience time.Duration
+}
 
 // Follow asks for the store's changes after a revision as a long poll that waits at most as long as Wait. Its result is
 // a Followed or ReadFailed.
 type Follow struct {
 	After store.Revision
 	Wait  time.Duration
+	// Patience is as in List.
+	Patience time.Duration
 }
 
 // Fetch asks another instance for the state that this one lacks. Its result is a Fetched or FetchFailed.
@@ -34,7 +39,11 @@
 }
 
 // ReadConfig asks the store for the configuration after a delay. Its result is a ConfigRead.
-type ReadConfig struct{ Delay time.Duration }
+type ReadConfig struct {
+	Delay time.Duration
+	// Patience is as in List.
+	Patience time.Duration
+}
 
 // Register writes the instance's registration under a new lease. Its result is a Registered or RegisterFailed.
 type Register struct{ TTL time.Duration }
@@ -104,7 +113,7 @@
 	NoteConfig
 	// NoteConfigMissing is a configuration that is in force elsewhere and that this instance begins to read.
 	NoteConfigMissing
-	// NoteConfigLost is a configuration that was in force elsewhere and that neither the store nor an instance has any more.
+	// NoteConfigLost is a configuration that was in force elsewhere and that neither the store nor an instance has now.
 	NoteConfigLost
 	// NoteRelay is the beginning or end of this instance's role as a relay.
 	NoteRelay
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -29,7 +29,7 @@
 	refused map[id.Instance]bool
 	// silentReads holds the instances whose next read of the configuration gets no answer.
 	silentReads map[id.Instance]bool
-	calls   int
+	calls       int
 	// disruptedAt is the time of the last disruption, and configuredAt that of the last configuration change.
 	disruptedAt  time.Duration
 	configuredAt time.Duration
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -38,13 +38,23 @@
 
 func (state *State) listStore() {
 	state.reading.pending, state.reading.relist = true, false
-	state.emit(List{})
+	state.emit(List{Patience: state.patience()})
 }
 
+// patience returns how long an open connection to the store may be silent before a read is repeated on a new one.
+func (state *State) patience() time.Duration {
+	return max(portion(state.config.Limits.strictest(), _patienceFraction), _minPatience)
+}
+
+// followStore reads the changes since the known revision. The follower waits for a change. An instance whose updates
+// are late does not, as part of its limit has already passed.
 func (state *State) followStore() {
-	wait := max(portion(state.config.Limits.strictest(), _followWaitFraction), _minFollowWait)
+	var wait time.Duration
+	if state.reading.active {
+		wait = max(portion(state.config.Limits.strictest(), _followWaitFraction), _minFollowWait)
+	}
 	state.reading.pending, state.reading.wait = true, wait
-	state.emit(Follow{After: state.catalog.Revision(), Wait: wait})
+	state.emit(Follow{After: state.catalog.Revision(), Wait: wait, Patience: state.patience()})
 }
 
 // readStore reads the changes since the known revision, or lists the store if that is not possible.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -49,7 +49,7 @@
 	daemon.asyncEffects.Go(func() {
 		switch effect := effect.(type) {
 		case core.List:
-			daemon.post(ctx, daemon.list(ctx, client))
+			daemon.post(ctx, daemon.list(ctx, client, effect))
 		case core.Follow:
 			daemon.post(ctx, daemon.follow(ctx, client, effect))
 		case core.Fetch:
@@ -68,9 +68,9 @@
 	})
 }
 
-func (daemon *Daemon) list(ctx context.Context, client *platform.StoreClient) core.Event {
+func (daemon *Daemon) list(ctx context.Context, client *platform.StoreClient, effect core.List) core.Event {
 	asked := daemon.clock.now()
-	listing, err := client.List(ctx, "")
+	listing, err := client.List(ctx, "", effect.Patience)
 	if daemon.storeCallFailed(err, _callList) {
 		return core.ReadFailed{At: daemon.clock.now()}
 	}
@@ -86,7 +86,7 @@
 
 func (daemon *Daemon) follow(ctx context.Context, client *platform.StoreClient, effect core.Follow) core.Event {
 	asked := daemon.clock.now()
-	history, err := client.Watch(ctx, "", effect.After, effect.Wait)
+	history, err := client.Watch(ctx, "", effect.After, effect.Wait, effect.Patience)
 	if daemon.storeCallFailed(err, _callWatch) {
 		historyLost := errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored)
 		return core.ReadFailed{At: daemon.clock.now(), HistoryLost: historyLost}
@@ -166,7 +166,7 @@
 
 func (daemon *Daemon) readConfig(ctx context.Context, client *platform.StoreClient, effect core.ReadConfig) core.Event {
 	time.Sleep(effect.Delay)
-	item, _, err := client.Get(ctx, platform.ConfigKey)
+	item, _, err := client.Get(ctx, platform.ConfigKey, effect.Patience)
 	if daemon.storeCallFailed(err, _callGet) {
 		return core.ConfigRead{At: daemon.clock.now()}
 	}
@@ -205,6 +205,12 @@
 	return core.Registered{At: daemon.clock.now(), Grant: effect.Grant}
 }
 
+// logSilence counts and logs that a read of the store was repeated on a new connection.
+func (daemon *Daemon) logSilence(path string, silence time.Duration) {
+	daemon.metrics.storeRepeats.Inc(1)
+	daemon.log.Log(event.ConnectionSilent, event.Fields{"Path": path, "SilentMs": silence.Milliseconds()})
+}
+
 // storeCallFailed counts a store call and reports whether it failed; if so, it counts and logs the failure.
 func (daemon *Daemon) storeCallFailed(err error, call storeCall) bool {
 	daemon.metrics.storeCalls[call].Inc(1)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -115,10 +115,12 @@
 		events:      make(chan core.Event, _eventQueueSize),
 		viewQueries: make(chan viewQuery),
 		firstReady:  make(chan struct{}),
-		store:       platform.NewStoreClient(config.Settings.Store.Address.String()),
 		relayClient: relay.NewClient(),
 		steering:    steer.New(),
 	}
+	daemon.store = platform.NewStoreClient(platform.StoreConfig{
+		Address: config.Settings.Store.Address.String(), OnSilence: daemon.logSilence,
+	})
 	daemon.state = core.New(daemon.controlConfig())
 	return daemon, daemon.listen()
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,7 @@
 	flowsAbandoned   tally.Counter
 	storeCalls       map[storeCall]tally.Counter
 	storeFailures    tally.Counter
+	storeRepeats     tally.Counter
 	storeRestores    tally.Counter
 	probes           tally.Counter
 	peerBytes        tally.Counter
@@ -75,6 +76,7 @@
 		created.storeCalls[call] = scope.Tagged(map[string]string{"Call": string(call)}).Counter("store_calls_total")
 	}
 	created.storeFailures = scope.Counter("store_failures_total")
+	created.storeRepeats = scope.Counter("store_reads_repeated_total")
 	created.storeRestores = scope.Counter("store_restores_total")
 	created.probes = scope.Counter("probes_total")
 	created.peerBytes = scope.Counter("peer_bytes_total")
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -239,6 +239,10 @@
 		"metadata store was restored from a backup, what it has lost is awaited again",
 		"Check that the operator's last configuration and all backend servers are registered again.")
 	ConfigMissing = define(1219, "ConfigMissing", _info, "configuration is in force elsewhere and is read", _noRemedy)
-	ConfigLost    = define(1220, "ConfigLost", _warn, "neither the metadata store nor an instance has a configuration any more",
+	ConfigLost    = define(1220, "ConfigLost", _warn,
+		"neither the metadata store nor an instance has a configuration any more",
 		"Write the operator's last configuration again.")
+	ConnectionSilent = defineLimited(1221, "ConnectionSilent", _warn,
+		"open connection to the metadata store is silent, the read is repeated on a new one",
+		"Check the network to the store if it repeats.")
 )
