Use a new connection to the key-value service after a failed call

What callers saw: nothing yet.

Cause: up to eight idle connections to the key-value service are kept. If they go silent, each call fails after its time limit of 2 s on the next one of them, while a lease runs out.

Change: idle connections are closed after a call without an answer.

--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -103,6 +103,8 @@
 	received, err := client.roundTrip(ctx, call)
 	if err != nil {
 		client.calls.failed.Add(1)
+		// Other open connections may have gone silent as well; the next call uses a new one.
+		client.http.CloseIdleConnections()
 		unreachable := &UnreachableError{Address: client.config.Address, Write: call.method != http.MethodGet, Cause: err}
 		return response{}, eris.Wrapf(unreachable, "%s %s", call.method, call.path)
 	}
