Refuse odd registrations before they cost memory or time

What callers saw: nothing here. Operators of similar systems told of one odd entry among the targets (very deeply nested, a number too large, a port out of range) that ended the machines that read it, or kept them from following the list.

Cause: it could happen here. The JSON decoder recurses for each level of nesting without a limit, also in fields that nobody reads.

A port above 65,535 and numbers beyond 64 bits were refused before.

Errors in the log are cut at 1 KiB. Refused entries are counted in azureshift_registrations_refused_total. The instance list of azureshift serve leaves out entries with port 0 and 0.0.0.0.

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -134,7 +135,7 @@
 	}
 	server, err := platform.DecodeTarget(change.Key, change.Value)
 	if err != nil {
-		daemon.log.LogError(event.RegistrationUnreadable, err, event.Fields{"Key": change.Key})
+		daemon.logUnreadable(err, change)
 		return missing
 	}
 	return catalog.Entry{Revision: change.Revision, Server: &server}
@@ -148,13 +149,30 @@
 		return left
 	}
 	var instance catalog.Instance
-	if err := cbor.Unmarshal(change.Value, &instance); err != nil || instance.Name != left.MissingInstance {
-		daemon.log.LogError(event.RegistrationUnreadable, err, event.Fields{"Key": change.Key})
+	err := cbor.Unmarshal(change.Value, &instance)
+	if err == nil && (instance.Name != left.MissingInstance || !reachable(instance.Address)) {
+		err = eris.Errorf("no instance of this name with an address: %s", instance.Address)
+	}
+	if err != nil {
+		daemon.logUnreadable(err, change)
 		return left
 	}
 	return catalog.Entry{Revision: change.Revision, Instance: &instance, Lease: change.Lease}
 }
 
+// reachable reports whether messages can be sent to an address.
+func reachable(address netip.AddrPort) bool {
+	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
+}
+
+// logUnreadable counts and logs a registration that names no server or instance to use.
+func (daemon *Daemon) logUnreadable(err error, change *store.Change) {
+	daemon.metrics.registrationsRefused.Inc(1)
+	daemon.log.LogError(event.RegistrationUnreadable, err, event.Fields{
+		"Key": change.Key, "Bytes": len(change.Value), "Revision": change.Revision.Number(),
+	})
+}
+
 func (daemon *Daemon) fetch(ctx context.Context, effect core.Fetch) core.Event {
 	view, err := daemon.relayClient.Fetch(ctx, effect.From, effect.Known)
 	if err != nil {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,9 +43,11 @@
 	storeRepeats     tally.Counter
 	storeRestores    tally.Counter
 	probes           tally.Counter
-	peerBytes        tally.Counter
-	eventsLost       tally.Counter
-	linesDropped     tally.Counter
+	// registrationsRefused counts reads of registrations that name no server or instance to use.
+	registrationsRefused tally.Counter
+	peerBytes            tally.Counter
+	eventsLost           tally.Counter
+	linesDropped         tally.Counter
 }
 
 func newMetrics(instance id.Instance, domain id.Domain) *metrics {
@@ -78,6 +80,7 @@
 	created.storeFailures = scope.Counter("store_failures_total")
 	created.storeRepeats = scope.Counter("store_reads_repeated_total")
 	created.storeRestores = scope.Counter("store_restores_total")
+	created.registrationsRefused = scope.Counter("registrations_refused_total")
 	created.probes = scope.Counter("probes_total")
 	created.peerBytes = scope.Counter("peer_bytes_total")
 	created.eventsLost = scope.Counter("events_lost_total")
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
-	"github.com/segmentio/encoding/json"
 	"github.com/uber-go/tally/v4"
 
 	"azureshift/core/id"
--- a/event/logger.go
+++ b/event/logger.go
@@ -24,7 +24,11 @@
 	_fieldSuppressed = "Suppressed"
 )
 
-const _defaultPeriod = 10 * time.Second
+const (
+	_defaultPeriod = 10 * time.Second
+	// _maxErrorText is the length in bytes from which the text of an error is cut.
+	_maxErrorText = 1024
+)
 
 // Config configures a Logger.
 type Config struct {
@@ -128,10 +132,25 @@
 	for name, value := range fields {
 		withError[name] = value
 	}
-	withError[_fieldError] = err
+	withError[_fieldError] = boundedError{err}
 	logger.Log(event, withError)
 }
 
+// boundedError limits the text of an error, which may quote what came from outside.
+type boundedError struct{ error }
+
+// Error returns the beginning of the error's text.
+func (bounded boundedError) Error() string {
+	if bounded.error == nil {
+		return ""
+	}
+	text := bounded.error.Error()
+	if len(text) <= _maxErrorText {
+		return text
+	}
+	return text[:_maxErrorText] + "..."
+}
+
 // Flush writes one line for each limited event whose period is over and that had lines suppressed in it. Call it
 // regularly, so that suppressed lines are reported even if the event does not occur again.
 func (logger *Logger) Flush() {
--- a/io/platform/instances.go
+++ b/io/platform/instances.go
@@ -131,7 +131,8 @@
 	incarnation, errIncarnation := strconv.ParseUint(service.Meta.Incarnation, 10, 64)
 	peer, errPeer := netip.ParseAddr(service.Address)
 	operator, errOperator := netip.ParseAddrPort(service.Meta.Operator)
-	if errIncarnation != nil || errPeer != nil || errOperator != nil || service.ID == "" {
+	if errIncarnation != nil || errPeer != nil || errOperator != nil || service.ID == "" ||
+		service.Port == 0 || peer.IsUnspecified() || peer.IsMulticast() {
 		return Instance{}, false
 	}
 	instance := Instance{
