--- a/entry/odd_entries_test.go
+++ b/entry/odd_entries_test.go
@@ -54,7 +54,7 @@
 		Value    string `json:"value"`
 		Revision int    `json:"revision"`
 	}
-	var items []item
+	items := make([]item, 0, len(values))
 	for key, value := range values {
 		encoded := base64.StdEncoding.EncodeToString(value)
 		items = append(items, item{Key: key, Value: encoded, Revision: len(items) + 1})
