List the store when the changes are too large for an answer

What callers saw: after a cut of the instance that follows the store, while large configurations come in quick succession, no instance read the store for about 15 s.

Cause: the answer of a watch grows with the history. Beyond 8 MiB it was cut and did not decode, which counted as a failure of the store, so that every instance asked for the same changes again until its state was 15 s old.

--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -27,6 +27,8 @@
 	// resets says that calls fail at once while the store is down, rather than time out.
 	resets  bool
 	refused map[id.Instance]bool
+	// maxChanges is the largest number of changes that an answer to a long poll may hold; zero means any.
+	maxChanges int
 	// silentReads holds the instances whose next read of the configuration gets no answer.
 	silentReads map[id.Instance]bool
 	calls       int
@@ -116,7 +118,11 @@
 				followed.Changes++
 			}
 		}
+		tooLarge := cluster.store.maxChanges > 0 && followed.Changes > cluster.store.maxChanges
 		cluster.schedule(node, _storeDelay+cluster.store.delay, func() Event {
+			if tooLarge {
+				return ReadFailed{At: cluster.now, TooLarge: true}
+			}
 			followed.At = cluster.now
 			return followed
 		})
--- a/core/entry/random_faults_test.go
+++ b/core/entry/random_faults_test.go
@@ -47,7 +47,7 @@
 func (cluster *cluster) applyRandomEvent(lastServer *int, copied *fakeCopy) {
 	nodes := cluster.orderedNodes()
 	node := nodes[cluster.random.IntN(len(nodes))]
-	switch cluster.random.IntN(14) {
+	switch cluster.random.IntN(16) {
 	case 0:
 		cluster.kill(node)
 	case 1, 2:
@@ -79,6 +79,11 @@
 		*copied = cluster.copyStore()
 	case 13:
 		cluster.restoreStore(*copied)
+	case 14:
+		cluster.silenceConfigReads(node)
+		cluster.configureLarge(cluster.store.config.Version + 2)
+	case 15:
+		cluster.store.maxChanges = 1 + cluster.random.IntN(8)
 	}
 }
 
--- a/core/entry/store_test.go
+++ b/core/entry/store_test.go
@@ -219,6 +219,35 @@
 	cluster.checkFor(10 * time.Second)
 }
 
+// TestHistoryThatIsTooLarge guards against instances that ask for the same changes again and again because there are
+// too many for one answer, while they take the store for lost.
+func TestHistoryThatIsTooLarge(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(10) {
+		cluster := startCluster(c, 400+seed, 3, 4)
+		cluster.checkFor(8 * time.Second)
+		cluster.store.maxChanges = 8
+		follower := cluster.follower()
+		cluster.store.refused[follower.self.Name] = true
+		for range 25 {
+			cluster.configureLarge(cluster.store.config.Version + 1)
+			cluster.runFor(60 * time.Millisecond)
+		}
+		cluster.drainServer(cluster.servers["i-00000003"])
+		cluster.checkFor(4 * time.Second)
+		clear(cluster.store.refused)
+		cluster.checkFor(6 * time.Second)
+		for _, node := range cluster.orderedNodes() {
+			if node == follower {
+				continue
+			}
+			for _, note := range node.notes {
+				c.Assert(note.Kind, qt.Not(qt.Equals), NoteStoreLost, qt.Commentf("%s, seed %d", node.self.Name, seed))
+			}
+		}
+	}
+}
+
 func TestLostRegistration(t *testing.T) {
 	c := qt.New(t)
 	cluster := startCluster(c, 18, 3, 2)
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -90,7 +90,9 @@
 	history, err := client.Watch(ctx, "", effect.After, effect.Wait, effect.Patience)
 	if daemon.storeCallFailed(err, _callWatch) {
 		historyLost := errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored)
-		return core.ReadFailed{At: daemon.clock.now(), HistoryLost: historyLost}
+		return core.ReadFailed{
+			At: daemon.clock.now(), HistoryLost: historyLost, TooLarge: errors.Is(err, store.ErrTooLarge),
+		}
 	}
 	entries, config := daemon.decode(history.Changes)
 	return core.Followed{
