Keep the number of a server that an odd registration claims

What callers saw: nothing here. Found while looking for what an odd entry among the targets can do to the others.

Cause: of two servers with one number the earlier started kept it, and an entry without a start time counted as the earliest. Such an entry, also of a service that is not configured, took the new flows and the open ones of a live server.

Change: a server of a configured service goes first, then one with a known start time, then the earlier one.

--- a/core/entry/configread.go
+++ b/core/entry/configread.go
@@ -33,7 +33,7 @@
 	reading := &state.configReading
 	if newest := max(inForce, missing); newest > reading.newest {
 		reading.newest, reading.holder = newest, netip.AddrPort{}
-		reading.lost, reading.failures, reading.retryAt = false, 0, 0
+		reading.lost, reading.failures = false, 0
 		if state.informed() && state.missingConfig() != 0 {
 			state.emit(Note{
 				Kind: NoteConfigMissing, Age: state.age(), Revision: state.catalog.Revision(), Version: newest,
@@ -90,6 +90,6 @@
 		state.emit(Note{
 			Kind: NoteConfigLost, Age: state.age(), Revision: state.catalog.Revision(), Version: state.missingConfig(),
 		})
-		state.configReading = configReading{pending: state.configReading.pending}
+		state.configReading = configReading{pending: state.configReading.pending, retryAt: state.now + _maxBackoff}
 	}
 }
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -48,8 +47,10 @@
 	// resetServers lists servers whose flows are reset after the next table is published.
 	resetServers []id.Target
 	routes       map[packet.Endpoint]*route.Route
-	cookies      map[packet.Cookie]id.Target
-	loads        fleet.LoadEstimates
+	// services are the services that the configuration names.
+	services map[id.Service]bool
+	cookies  map[packet.Cookie]id.Target
+	loads    fleet.LoadEstimates
 	// serviceTimes are the usual times for which servers of each service run a request.
 	serviceTimes steer.Baselines
 	// lastUsed is when this instance last saw traffic with each server.
@@ -89,6 +90,7 @@
 	}
 	if publishing.configChanged || publishing.routes == nil {
 		publishing.routes = routesByEndpoint(state.catalog.Routes())
+		publishing.services = servicesOf(state.catalog.Routes())
 	}
 	if rebuild {
 		publishing.built = state.buildTable(settled)
@@ -137,11 +139,11 @@
 	return table
 }
 
-// addServer adds a server to the table. Of two servers with the same cookie it adds only the older one.
+// addServer adds a server to the table. Of two servers with the same cookie it adds only one.
 func (state *State) addServer(table *steer.Table, record *catalog.Record) {
 	cookie := target.CookieOf(record.Number)
 	if other, ok := table.Servers[cookie]; ok {
-		if cmp.Compare(other.StartTime, record.StartTime) <= 0 {
+		if !state.displaces(record, other) {
 			state.emit(Note{Kind: NoteCollision, Server: record.ID, Value: string(other.ID)})
 			return
 		}
@@ -161,6 +163,34 @@
 	}
 }
 
+// displaces reports whether a server takes the cookie that another one has. Anyone can register a server with a number
+// that is in use: a service of the configuration goes first, then a known start time, then the earlier one.
+func (state *State) displaces(record *catalog.Record, other *steer.Server) bool {
+	named, otherNamed := state.publishing.services[record.Service], state.publishing.services[other.Service]
+	started, otherStarted := record.StartTime != 0, other.StartTime != 0
+	switch {
+	case named != otherNamed:
+		return named
+	case started != otherStarted:
+		return started
+	}
+	return record.StartTime < other.StartTime
+}
+
+// servicesOf returns the services that a configuration names.
+func servicesOf(config route.Config) map[id.Service]bool {
+	services := make(map[id.Service]bool, len(config.Services))
+	for _, service := range config.Services {
+		services[service.Name] = true
+	}
+	for index := range config.Routes {
+		for _, share := range config.Routes[index].Shares {
+			services[share.Service] = true
+		}
+	}
+	return services
+}
+
 // rebuildAt schedules a rebuild of the table for a time in the future when a server's state changes without an event.
 func (publishing *publishing) rebuildAt(now, at time.Duration) {
 	if at > now {
--- a/entry/odd_entries_test.go
+++ b/entry/odd_entries_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -20,6 +18,7 @@
 	core "azureshift/core/entry"
 	"azureshift/event"
 	"azureshift/platform"
+	"azureshift/standin/metastore"
 )
 
 // _maxLine is the greatest length in bytes of a log line that an odd entry may cause.
@@ -46,24 +45,14 @@
 	}
 }
 
-// serveValues returns the address of a store that answers each call with a listing of the values.
+// serveValues returns the address of a store that holds the values and lists two on a page.
 func serveValues(c *qt.C, values map[string][]byte) netip.AddrPort {
 	c.Helper()
-	type item struct {
-		Key      string `json:"key"`
-		Value    string `json:"value"`
-		Revision int    `json:"revision"`
-	}
-	items := make([]item, 0, len(values))
+	held := metastore.New(metastore.Config{PageItems: 2})
 	for key, value := range values {
-		encoded := base64.StdEncoding.EncodeToString(value)
-		items = append(items, item{Key: key, Value: encoded, Revision: len(items) + 1})
+		held.Put(key, value, 0)
 	}
-	body, err := json.Marshal(map[string]any{"items": items, "store_revision": len(items)})
-	c.Assert(err, qt.IsNil)
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		_, _ = writer.Write(body)
-	}))
+	server := httptest.NewServer(held.Handler(""))
 	c.Cleanup(server.Close)
 	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 }
