Soak with storms of large configurations and more odd registrations

ConfigureStorm writes 20 configurations with 1,500 routes or more, 60 ms apart, whose history exceeds an answer of the store. Garbage writes deeply nested values, ports that no server has, a number too large, a long name, and the number of a live server as well.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -61,6 +61,7 @@
 		{"CutTarget", targetNetworkFault(proxy.Fault{CutToTarget: true, CutFromTarget: true})},
 		{"TargetFar", targetNetworkFault(proxy.Fault{Delay: 30 * time.Millisecond})},
 		{"Configure", changeConfiguration},
+		{"ConfigureStorm", stormConfigurations},
 		{"Garbage", writeMalformedEntries},
 	}
 }
@@ -369,16 +370,3 @@
 		}
 	}
 }
-
-func changeConfiguration(soak *soak, random *rand.Rand) func() {
-	soak.deployment.Configure(random.IntN(60))
-	return func() {}
-}
-
-// writeMalformedEntries writes a registration that is malformed or in an unknown state.
-func writeMalformedEntries(soak *soak, random *rand.Rand) func() {
-	values := []string{"", "{", "null", `{"service":7}`, "\xff\xfe", `{"service":"chiosco","state":"zombie"}`}
-	key := fmt.Sprintf("servers/i-%08x", random.Uint32())
-	soak.deployment.Store.Put(key, []byte(values[random.IntN(len(values))]), 0)
-	return func() { soak.deployment.Store.Delete(key) }
-}
