List the store when changes cannot be decoded

What callers saw: nothing yet.

Change: such an answer is ErrUnreadable and leads to a listing at once, as one that is too large does.

--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -53,8 +53,9 @@
 	At time.Duration
 	// HistoryLost says that the store no longer has the requested changes, as it compacted its history or was restored.
 	HistoryLost bool
-	// TooLarge says that the changes are too many to be read. A listing is bounded by the state, not by the history.
-	TooLarge bool
+	// Unreadable says that the changes are too many to be read, or cannot be decoded. A listing depends on the state only,
+	// not on the history.
+	Unreadable bool
 }
 
 // Fetched holds the state fetched from another instance.
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -121,7 +121,7 @@
 		tooLarge := cluster.store.maxChanges > 0 && followed.Changes > cluster.store.maxChanges
 		cluster.schedule(node, _storeDelay+cluster.store.delay, func() Event {
 			if tooLarge {
-				return ReadFailed{At: cluster.now, TooLarge: true}
+				return ReadFailed{At: cluster.now, Unreadable: true}
 			}
 			followed.At = cluster.now
 			return followed
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -202,11 +202,11 @@
 	}
 }
 
-// handleReadFailed schedules a retry with exponential backoff. A compacted history, or one that is too large, is not a
-// failure of the store: it leads to a new listing at once.
+// handleReadFailed schedules a retry with exponential backoff. A compacted history, or one that cannot be read, is not
+// a failure of the store: it leads to a new listing at once.
 func (state *State) handleReadFailed(event ReadFailed) {
 	state.reading.pending = false
-	if event.HistoryLost || event.TooLarge {
+	if event.HistoryLost || event.Unreadable {
 		state.reading.relist = true
 		state.readStore()
 		return
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -101,6 +101,8 @@
 	ErrRestored = errors.New("store was restored from a backup; list the keys again")
 	// ErrTooLarge says that an answer is too large to be read, or to be read in time; asking again would bring it again.
 	ErrTooLarge = errors.New("answer of the store is too large")
+	// ErrUnreadable says that an answer cannot be decoded; asking again may bring it again.
+	ErrUnreadable = errors.New("answer of the store cannot be decoded")
 	// ErrCompacted says that the requested history has been compacted; list the keys again.
 	ErrCompacted = errors.New("requested history was compacted; list the keys again")
 	// ErrConflict says that a condition did not hold and nothing was written.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -90,9 +90,8 @@
 	history, err := client.Watch(ctx, "", effect.After, effect.Wait, effect.Patience)
 	if daemon.storeCallFailed(err, _callWatch) {
 		historyLost := errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored)
-		return core.ReadFailed{
-			At: daemon.clock.now(), HistoryLost: historyLost, TooLarge: errors.Is(err, store.ErrTooLarge),
-		}
+		unreadable := errors.Is(err, store.ErrTooLarge) || errors.Is(err, store.ErrUnreadable)
+		return core.ReadFailed{At: daemon.clock.now(), HistoryLost: historyLost, Unreadable: unreadable}
 	}
 	entries, config := daemon.decode(history.Changes)
 	return core.Followed{
