Read answers of the store as a stream, and within shares of the bound

After an outage all servers register at once; at 16,000 servers the answer has 5.1 MB, above the limit of 4 MiB, so every instance gave it up and listed the store, on a link of 20 Mbit/s after 1.7 s.

Cause: an answer of a watch was held whole, so its size had to be limited whatever it led to. The time limits of the calls were constants beside bounds that come from the settings, and a page of a listing on a new, silent connection could take all of 3 s.

Evidence: TestWatchAfterAnOutage on: both answers, 5.1 MB of registrations and 61 MB of versions of one configuration, fail with "answer of the store is too large".

Change: the answer of a watch is decoded while it arrives. Of each key the last write is kept, and the removal after it, as a server that has left may have announced it; a value is dropped at once if it is larger than its key may have, or of a key that nobody reads. What ends a watch for a listing is the size of the known state, which the core computes, and never less than 4 MiB. Time limits are shares of the strictest bound, in core/entry/config.go. An instance that waits for a configuration from the store asks the holder as well after a quarter of the bound. A connection that breaks within an answer counts as its failure, also where a part was decoded.

Streams are decoded by github.com/go-json-experiment/json; pages of a listing, which are bounded, as before.

--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -41,11 +41,31 @@
 	// _followWaitFraction is the fraction of the strictest limit for which the follower's long poll waits for a change.
 	// It is also the interval at which the follower learns that nothing has changed.
 	_followWaitFraction = 0.25
-	// _patienceFraction is the fraction of the strictest limit for which an open connection to the store may be silent.
+	// _openSilenceFraction is the fraction of the strictest limit for which an open connection to the store may be silent.
 	// The rest of the limit covers a direct read on a new connection.
-	_patienceFraction = 1.0 / 6
-	// _minPatience keeps very strict limits from repeating the calls of a store that is merely slow.
-	_minPatience = 200 * time.Millisecond
+	_openSilenceFraction = 1.0 / 6
+	// _newSilenceFraction is that fraction for a new connection. The store responds within a few milliseconds, and at times
+	// up to a hundred times slower. _pageSilenceFraction is that for a page of a listing, which many instances request at
+	// once when all of them start.
+	_newSilenceFraction  = 1.0 / 3
+	_pageSilenceFraction = 1.0 / 2
+	// _readFraction is the fraction of the strictest limit for the whole answer with changes or a configuration. The rest
+	// covers another source: a listing or another instance.
+	_readFraction = 2.0 / 3
+	// _configReadFraction is the fraction of the strictest limit after which an instance that waits for a configuration
+	// from the store asks another instance as well.
+	_configReadFraction = 1.0 / 4
+	// _fetchFraction is the fraction of the strictest limit for a fetch from another instance: a few hundred kilobytes
+	// over a link of 10 Mbit/s.
+	_fetchFraction = 1.0 / 3
+	// _minReadTime keeps very strict limits from failing the calls of a store that is merely slow.
+	_minReadTime = 200 * time.Millisecond
+	// _registrationSize and _routeSize are the usual sizes in bytes of a registration and a route in an answer of the
+	// store.
+	_registrationSize = 600
+	_routeSize        = 250
+	// _minHistorySize is the smallest size in bytes of an answer with changes that is given up for a listing.
+	_minHistorySize = 4 << 20
 	// _batchFraction is the fraction of the strictest limit for which the follower lets changes accumulate before it
 	// polls again. Each call to the store is paid for, and a rolling replacement of servers changes many registrations.
 	_batchFraction = 0.07
--- a/core/entry/configread.go
+++ b/core/entry/configread.go
@@ -10,7 +10,9 @@
 // configReading is the state of reads of a configuration that this instance lacks. Updates name versions that are too
 // large for a message, and advance the revision past them.
 type configReading struct {
-	pending bool
+	// pending says that a ReadConfig is in progress, since startedAt.
+	pending   bool
+	startedAt time.Duration
 	// newest is the newest version that is known to exist, and holder an instance that had it, if any is known.
 	newest route.Version
 	holder netip.AddrPort
@@ -46,20 +48,29 @@
 }
 
 // readConfigIfDue reads the configuration that this instance lacks. It asks the store, which has the most bandwidth.
-// If the store does not answer this instance, or lacks the version, it asks an instance that has it. It tries again
-// until it has the version: no later change brings it.
+// If the store does not answer this instance, takes long, or lacks the version, it asks an instance that has it. It
+// tries again until it has the version: no later change brings it.
 func (state *State) readConfigIfDue() {
 	reading := &state.configReading
-	if reading.pending || state.missingConfig() == 0 || !state.informed() || state.now < reading.retryAt {
+	if state.missingConfig() == 0 || !state.informed() {
+		return
+	}
+	if reading.pending {
+		if state.now-reading.startedAt >= state.readTime(_configReadFraction) && reading.holder.IsValid() {
+			state.fetch(reading.holder)
+		}
+		return
+	}
+	if state.now < reading.retryAt {
 		return
 	}
 	if state.reading.storeLost {
 		state.retryConfigRead()
 		return
 	}
-	reading.pending = true
+	reading.pending, reading.startedAt = true, state.now
 	delay := time.Duration(state.config.Random() * float64(_configReadJitter))
-	state.emit(ReadConfig{Delay: delay, Patience: state.patience()})
+	state.emit(ReadConfig{Delay: delay, Limits: state.readLimits()})
 }
 
 func (state *State) handleConfigRead(event ConfigRead) {
--- a/core/entry/configread_test.go
+++ b/core/entry/configread_test.go
@@ -96,6 +96,55 @@
 	})
 }
 
+// TestConfigurationThatTheStoreSendsSlowly guards against a read of a configuration that uses up the convergence limit
+// although another instance has the configuration.
+func TestConfigurationThatTheStoreSendsSlowly(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 320, 2, 1)
+	cluster.checkFor(8 * time.Second)
+	receiver, sender := cluster.orderedNodes()[0], cluster.orderedNodes()[1]
+	effects := receiver.state.Reduce(MessageReceived{At: cluster.now, Message: updateTo(receiver, sender)})
+	c.Assert(countReads(effects), qt.Equals, 1)
+	effects = receiver.state.Reduce(Tick{At: cluster.now + _drainLimit/10})
+	assertNoFetch(c, effects)
+	effects = receiver.state.Reduce(Tick{At: cluster.now + _drainLimit/4})
+	assertFetch(c, effects, sender)
+	c.Assert(countReads(effects), qt.Equals, 0)
+}
+
+func assertNoFetch(c *qt.C, effects []Effect) {
+	c.Helper()
+	for _, effect := range effects {
+		_, fetches := effect.(Fetch)
+		c.Assert(fetches, qt.IsFalse)
+	}
+}
+
+// TestReadLimits checks that no call can use up the strictest limit alone, whatever the settings are.
+func TestReadLimits(t *testing.T) {
+	c := qt.New(t)
+	for _, limit := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second} {
+		c.Run(limit.String(), func(c *qt.C) {
+			state := New(Config{
+				Limits: Limits{Drain: 2 * limit, Convergence: limit, MaxFlowLife: time.Minute, MinLease: time.Second},
+				Random: func() float64 { return 0 },
+			})
+			list := state.Start(0)[0].(List)
+			state.followStore()
+			state.fetch(Address{})
+			effects := state.takeEffects()
+			follow, fetch := effects[0].(Follow), effects[1].(Fetch)
+			read := state.readLimits()
+			c.Assert(follow.Limits, qt.Equals, read)
+			c.Assert(read.OpenSilence+read.NewSilence < limit, qt.IsTrue)
+			c.Assert(read.Total < limit, qt.IsTrue)
+			c.Assert(portion(limit, _configReadFraction)+fetch.Timeout < limit, qt.IsTrue)
+			c.Assert(list.Limits.OpenSilence+list.Limits.NewSilence < limit, qt.IsTrue)
+			c.Assert(fetch.Timeout < limit/2, qt.IsTrue)
+		})
+	}
+}
+
 func countReads(effects []Effect) int {
 	count := 0
 	for _, effect := range effects {
--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -18,31 +18,30 @@
 type Effect interface{ effect() }
 
 // List asks for a listing of the store. Its result is a Listed or ReadFailed.
-type List struct {
-	// Patience is how long an open connection may be silent before the read is repeated on a new one.
-	Patience time.Duration
-}
+type List struct{ Limits store.ReadLimits }
 
 // Follow asks for the store's changes after a revision as a long poll that waits at most as long as Wait. Its result is
 // a Followed or ReadFailed.
 type Follow struct {
 	After store.Revision
 	Wait  time.Duration
-	// Patience is as in List.
-	Patience time.Duration
+	// MaxSize is the size of the answer in bytes from which a listing costs less.
+	MaxSize int64
+	Limits  store.ReadLimits
 }
 
 // Fetch asks another instance for the state that this one lacks. Its result is a Fetched or FetchFailed.
 type Fetch struct {
 	From  netip.AddrPort
 	Known StateID
+	// Timeout bounds the whole fetch.
+	Timeout time.Duration
 }
 
 // ReadConfig asks the store for the configuration after a delay. Its result is a ConfigRead.
 type ReadConfig struct {
-	Delay time.Duration
-	// Patience is as in List.
-	Patience time.Duration
+	Delay  time.Duration
+	Limits store.ReadLimits
 }
 
 // Register writes the instance's registration under a new lease. Its result is a Registered or RegisterFailed.
--- a/core/entry/fetch.go
+++ b/core/entry/fetch.go
@@ -22,8 +22,9 @@
 	}
 	state.fetching.pending, state.fetching.askedAt = true, state.now
 	state.emit(Fetch{
-		From:  from,
-		Known: StateID{Revision: state.catalog.Revision(), Config: state.catalog.Routes().Version},
+		From:    from,
+		Known:   StateID{Revision: state.catalog.Revision(), Config: state.catalog.Routes().Version},
+		Timeout: state.readTime(_fetchFraction),
 	})
 }
 
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -38,12 +38,31 @@
 
 func (state *State) listStore() {
 	state.reading.pending, state.reading.relist = true, false
-	state.emit(List{Patience: state.patience()})
+	limits := state.readLimits()
+	// There is nothing else to ask while a page is on its way over a slow link.
+	limits.NewSilence, limits.Total = state.readTime(_pageSilenceFraction), state.readTime(1)
+	state.emit(List{Limits: limits})
 }
 
-// patience returns how long an open connection to the store may be silent before a read is repeated on a new one.
-func (state *State) patience() time.Duration {
-	return max(portion(state.config.Limits.strictest(), _patienceFraction), _minPatience)
+// readLimits returns how long a read of the store may take, so that another source can be asked within the strictest
+// limit.
+func (state *State) readLimits() store.ReadLimits {
+	return store.ReadLimits{
+		OpenSilence: state.readTime(_openSilenceFraction),
+		NewSilence:  state.readTime(_newSilenceFraction),
+		Total:       state.readTime(_readFraction),
+	}
+}
+
+// readTime returns a fraction of the strictest limit for a part of a read.
+func (state *State) readTime(fraction float64) time.Duration {
+	return max(portion(state.config.Limits.strictest(), fraction), _minReadTime)
+}
+
+// maxHistory returns the size in bytes from which an answer with changes takes longer than a listing.
+func (state *State) maxHistory() int64 {
+	registrations := len(state.catalog.Servers()) * _registrationSize
+	return int64(max(registrations+len(state.catalog.Routes().Routes)*_routeSize, _minHistorySize))
 }
 
 // followStore reads the changes since the known revision. The follower waits for a change. An instance whose updates
@@ -54,7 +73,9 @@
 		wait = max(portion(state.config.Limits.strictest(), _followWaitFraction), _minFollowWait)
 	}
 	state.reading.pending, state.reading.wait = true, wait
-	state.emit(Follow{After: state.catalog.Revision(), Wait: wait, Patience: state.patience()})
+	state.emit(Follow{
+		After: state.catalog.Revision(), Wait: wait, MaxSize: state.maxHistory(), Limits: state.readLimits(),
+	})
 }
 
 // readStore reads the changes since the known revision, or lists the store if that is not possible.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -44,8 +44,10 @@
 
 // Item is a key with its value.
 type Item struct {
-	Key   string
+	Key string
+	// Value is nil if it is larger than the reader keeps for this key, and Size its size in bytes in any case.
 	Value []byte
+	Size  int
 	// Revision is the revision of the item's last change; in a condition, zero means that the key does not exist.
 	Revision Revision
 	Lease    Lease
@@ -57,6 +59,16 @@
 	Removed bool
 }
 
+// ReadLimits limits how long a read may take.
+type ReadLimits struct {
+	// OpenSilence is how long an open connection may be silent before the read is repeated on a new one, and NewSilence
+	// how long a new one may be silent before the read fails.
+	OpenSilence time.Duration
+	NewSilence  time.Duration
+	// Total bounds the time until the answer has arrived, without the time for which a watch waits for changes.
+	Total time.Duration
+}
+
 // Listing is the content of the store at one revision. If it was read in several pages, it may also include later
 // changes.
 type Listing struct {
@@ -65,7 +77,8 @@
 	Revision Revision
 }
 
-// History is a range of the store's history.
+// History is a range of the store's history without superseded changes: of each key it has the last write, and the
+// removal if that came later. Changes are ordered by their revisions.
 type History struct {
 	Changes []Change
 	// Revision is the revision after which to continue reading.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"azureshift/core/id"
 	"azureshift/core/route"
 	"azureshift/core/store"
+	"azureshift/core/target"
 	"azureshift/event"
 	"azureshift/platform"
 )
@@ -71,7 +73,7 @@
 
 func (daemon *Daemon) list(ctx context.Context, client *platform.StoreClient, effect core.List) core.Event {
 	asked := daemon.clock.now()
-	listing, err := client.List(ctx, "", effect.Patience)
+	listing, err := client.List(ctx, "", effect.Limits)
 	if daemon.storeCallFailed(err, _callList) {
 		return core.ReadFailed{At: daemon.clock.now()}
 	}
@@ -87,7 +89,9 @@
 
 func (daemon *Daemon) follow(ctx context.Context, client *platform.StoreClient, effect core.Follow) core.Event {
 	asked := daemon.clock.now()
-	history, err := client.Watch(ctx, "", effect.After, effect.Wait, effect.Patience)
+	history, err := client.Watch(ctx, platform.WatchQuery{
+		After: effect.After, Wait: effect.Wait, Limits: effect.Limits, MaxSize: effect.MaxSize,
+	})
 	if daemon.storeCallFailed(err, _callWatch) {
 		historyLost := errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored)
 		unreadable := errors.Is(err, store.ErrTooLarge) || errors.Is(err, store.ErrUnreadable)
@@ -134,7 +138,11 @@
 	if change.Removed {
 		return missing
 	}
-	server, err := platform.DecodeTarget(change.Key, change.Value)
+	err := checkSize(change)
+	var server target.Target
+	if err == nil {
+		server, err = platform.DecodeTarget(change.Key, change.Value)
+	}
 	if err != nil {
 		daemon.logUnreadable(err, change)
 		return missing
@@ -150,8 +158,8 @@
 		return left
 	}
 	var instance catalog.Instance
-	err := eris.Errorf("registration has more than %d bytes", platform.MaxRegistration)
-	if len(change.Value) <= platform.MaxRegistration {
+	err := checkSize(change)
+	if err == nil {
 		err = cbor.Unmarshal(change.Value, &instance)
 	}
 	if err == nil && (instance.Name != left.MissingInstance || !reachable(instance.Address)) {
@@ -164,6 +172,26 @@
 	return catalog.Entry{Revision: change.Revision, Instance: &instance, Lease: change.Lease}
 }
 
+// checkSize returns an error if a registration is too large, so that its value was not kept.
+func checkSize(change *store.Change) error {
+	if change.Size > platform.MaxRegistration {
+		return eris.Errorf("registration has %d bytes, more than %d", change.Size, platform.MaxRegistration)
+	}
+	return nil
+}
+
+// maxValue returns the size in bytes of the largest value that is read of a key: none of the keys of others.
+func maxValue(key string) int {
+	switch {
+	case key == platform.ConfigKey:
+		return math.MaxInt
+	case strings.HasPrefix(key, platform.TargetPrefix), strings.HasPrefix(key, _instancePrefix):
+		return platform.MaxRegistration
+	default:
+		return 0
+	}
+}
+
 // reachable reports whether messages can be sent to an address.
 func reachable(address netip.AddrPort) bool {
 	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
@@ -173,12 +201,12 @@
 func (daemon *Daemon) logUnreadable(err error, change *store.Change) {
 	daemon.metrics.registrationsRefused.Inc(1)
 	daemon.log.LogError(event.RegistrationUnreadable, err, event.Fields{
-		"Key": change.Key, "Bytes": len(change.Value), "Revision": change.Revision.Number(),
+		"Key": change.Key, "Bytes": change.Size, "Revision": change.Revision.Number(),
 	})
 }
 
 func (daemon *Daemon) fetch(ctx context.Context, effect core.Fetch) core.Event {
-	view, err := daemon.relayClient.Fetch(ctx, effect.From, effect.Known)
+	view, err := daemon.relayClient.Fetch(ctx, effect)
 	if err != nil {
 		daemon.log.LogError(event.InstanceFailed, err, event.Fields{"From": effect.From.String()})
 		return core.FetchFailed{At: daemon.clock.now(), From: effect.From}
@@ -188,7 +216,7 @@
 
 func (daemon *Daemon) readConfig(ctx context.Context, client *platform.StoreClient, effect core.ReadConfig) core.Event {
 	time.Sleep(effect.Delay)
-	item, _, err := client.Get(ctx, platform.ConfigKey, effect.Patience)
+	item, _, err := client.Get(ctx, platform.ConfigKey, effect.Limits)
 	if daemon.storeCallFailed(err, _callGet) {
 		return core.ConfigRead{At: daemon.clock.now()}
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -119,7 +119,7 @@
 		steering:    steer.New(),
 	}
 	daemon.store = platform.NewStoreClient(platform.StoreConfig{
-		Address: config.Settings.Store.Address.String(), OnSilence: daemon.logSilence,
+		Address: config.Settings.Store.Address.String(), OnSilence: daemon.logSilence, MaxValue: maxValue,
 	})
 	daemon.state = core.New(daemon.controlConfig())
 	return daemon, daemon.listen()
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -13,8 +13,14 @@
 	qt "github.com/frankban/quicktest"
 
 	core "azureshift/core/entry"
+	"azureshift/core/store"
 )
 
+// readLimits returns limits of a read of the store.
+func readLimits() store.ReadLimits {
+	return store.ReadLimits{OpenSilence: time.Second, NewSilence: time.Second, Total: 3 * time.Second}
+}
+
 // TestUnreadableChanges guards against a watch that is repeated although its answer cannot be read.
 func TestUnreadableChanges(t *testing.T) {
 	c := qt.New(t)
@@ -34,7 +40,7 @@
 			config := newSettings(c)
 			config.Store.Address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 			daemon := newDaemon(c, Config{Settings: config})
-			effect := core.Follow{After: 1, Patience: time.Second}
+			effect := core.Follow{After: 1, Limits: readLimits(), MaxSize: 4 << 20}
 			failed, ok := daemon.follow(context.Background(), daemon.store, effect).(core.ReadFailed)
 			c.Assert(ok, qt.IsTrue)
 			c.Assert(failed.Unreadable, qt.IsTrue)
--- a/entry/odd_entries_test.go
+++ b/entry/odd_entries_test.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
@@ -73,7 +72,7 @@
 	log, err := event.NewLogger(event.Config{Output: &logged, JSON: true})
 	c.Assert(err, qt.IsNil)
 	daemon.log = log
-	listed, ok := daemon.list(context.Background(), daemon.store, core.List{Patience: time.Second}).(core.Listed)
+	listed, ok := daemon.list(context.Background(), daemon.store, core.List{Limits: readLimits()}).(core.Listed)
 	c.Assert(ok, qt.IsTrue)
 	c.Run("leave the registration of the server", func(c *qt.C) {
 		var servers []string
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
@@ -89,7 +88,7 @@
 	log, err := event.NewLogger(event.Config{Output: &logged, JSON: true})
 	c.Assert(err, qt.IsNil)
 	daemon.log = log
-	daemon.applyListing(daemon.list(context.Background(), daemon.store, core.List{Patience: time.Second}))
+	daemon.applyListing(daemon.list(context.Background(), daemon.store, core.List{Limits: readLimits()}))
 	c.Run("logs one line", func(c *qt.C) {
 		lines := logged.lines(c, event.StoreListed)
 		c.Assert(lines, qt.HasLen, 1)
@@ -111,7 +110,7 @@
 			config.Store.Address = serveListing(c, routes)
 			daemon := newDaemon(c, Config{Settings: config})
 			for b.Loop() {
-				daemon.applyListing(daemon.list(context.Background(), daemon.store, core.List{Patience: time.Second}))
+				daemon.applyListing(daemon.list(context.Background(), daemon.store, core.List{Limits: readLimits()}))
 			}
 		})
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -150,11 +150,15 @@
 	return recorder.Code
 }
 
+func fetchFrom(address netip.AddrPort, known entry.StateID) entry.Fetch {
+	return entry.Fetch{From: address, Known: known, Timeout: time.Second}
+}
+
 func TestViews(t *testing.T) {
 	c := qt.New(t)
 	c.Run("are fetched whole", func(c *qt.C) {
 		address := serve(c, func(context.Context, entry.StateID) (entry.View, error) { return view(), nil })
-		fetched, err := NewClient().Fetch(context.Background(), address, entry.StateID{})
+		fetched, err := NewClient().Fetch(context.Background(), fetchFrom(address, entry.StateID{}))
 		c.Assert(err, qt.IsNil)
 		c.Assert(fetched, qt.CmpEquals(cmpAddresses()), view())
 	})
@@ -165,7 +169,7 @@
 			return view(), nil
 		})
 		stateID := entry.StateID{Revision: 1 << 60, Config: 7}
-		_, err := NewClient().Fetch(context.Background(), address, stateID)
+		_, err := NewClient().Fetch(context.Background(), fetchFrom(address, stateID))
 		c.Assert(err, qt.IsNil)
 		c.Assert(received, qt.Equals, stateID)
 	})
@@ -178,12 +182,12 @@
 	})
 	c.Run("are refused by an instance that knows nothing", func(c *qt.C) {
 		address := serve(c, func(context.Context, entry.StateID) (entry.View, error) { return entry.View{From: _self}, nil })
-		_, err := NewClient().Fetch(context.Background(), address, entry.StateID{})
+		_, err := NewClient().Fetch(context.Background(), fetchFrom(address, entry.StateID{}))
 		c.Assert(err, qt.ErrorMatches, "fetch the view of .*: status 503")
 	})
 	c.Run("are refused if the control thread does not respond", func(c *qt.C) {
 		address := serve(c, func(context.Context, entry.StateID) (entry.View, error) { return view(), eris.New("no answer") })
-		_, err := NewClient().Fetch(context.Background(), address, entry.StateID{})
+		_, err := NewClient().Fetch(context.Background(), fetchFrom(address, entry.StateID{}))
 		c.Assert(err, qt.ErrorMatches, "fetch the view of .*: status 503")
 	})
 	c.Run("that are not CBOR are refused", func(c *qt.C) {
@@ -192,7 +196,7 @@
 		}))
 		c.Cleanup(server.Close)
 		address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-		_, err := NewClient().Fetch(context.Background(), address, entry.StateID{})
+		_, err := NewClient().Fetch(context.Background(), fetchFrom(address, entry.StateID{}))
 		c.Assert(err, qt.ErrorMatches, "decode the view of .*")
 	})
 	c.Run("are given up after the timeout", func(c *qt.C) {
@@ -201,9 +205,9 @@
 			return entry.View{}, ctx.Err()
 		})
 		started := time.Now()
-		_, err := NewClient().Fetch(context.Background(), address, entry.StateID{})
+		_, err := NewClient().Fetch(context.Background(), fetchFrom(address, entry.StateID{}))
 		c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
-		c.Assert(time.Since(started) >= _viewTimeout, qt.IsTrue)
+		c.Assert(time.Since(started) >= fetchFrom(address, entry.StateID{}).Timeout, qt.IsTrue)
 	})
 }
 
--- a/io/relay/view.go
+++ b/io/relay/view.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
@@ -21,10 +20,8 @@
 const (
 	_viewPath = "/View"
 	// _revision and _version are the query parameters for what the requesting instance has.
-	_revision = "Revision"
-	_version  = "Version"
-	// _viewTimeout bounds the transfer of a few hundred kilobytes over a link of 10 Mbit/s.
-	_viewTimeout = time.Second
+	_revision    = "Revision"
+	_version     = "Version"
 	_dialTimeout = 300 * time.Millisecond
 	// _maxSmallView is the number of entries and routes up to which a view fits into about ten packets.
 	_maxSmallView = 64
@@ -43,10 +40,11 @@
 	}}}
 }
 
-// Fetch returns what the instance at address knows beyond what is known here.
-func (client *Client) Fetch(ctx context.Context, address netip.AddrPort, stateID entry.StateID) (entry.View, error) {
-	ctx, cancel := context.WithTimeout(ctx, _viewTimeout)
+// Fetch returns what another instance knows beyond what is known here.
+func (client *Client) Fetch(ctx context.Context, fetch entry.Fetch) (entry.View, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetch.Timeout)
 	defer cancel()
+	address, stateID := fetch.From, fetch.Known
 	query := url.Values{
 		_revision: {strconv.FormatUint(uint64(stateID.Revision), 10)},
 		_version:  {strconv.FormatUint(uint64(stateID.Config), 10)},
