Restore the store, and hold answers back, in the test of beliefs

What callers saw: nothing. TestBeliefs had neither restores of the store nor answers that are served long before they arrive.

Change: the world of the test keeps a history for each era, restores the store from a copy up to twice, and may serve a call at one time and deliver the answer at another.

--- a/core/entry/belief_test.go
+++ b/core/entry/belief_test.go
@@ -18,9 +18,9 @@
 		revision := state.catalog.Revision()
 		var version route.Version
 		servers := make(map[id.Target]target.State)
-		for _, change := range world.history[:revision] {
+		for _, change := range world.histories[revision.Era()][:revision.Number()] {
 			switch {
-			case change.config != nil:
+			case change.config != nil && !world.lost[change.config.Version]:
 				version = change.config.Version
 			case change.entry.Server != nil:
 				servers[change.entry.Server.ID] = change.entry.Server.State
@@ -100,6 +100,18 @@
 					world.messages = world.messages[1:]
 				}
 			},
+			"serve": func(*rapid.T) {
+				if len(world.calls) > 0 {
+					call := &world.calls[pick(len(world.calls))]
+					call.served = world.serve(*call, true)
+				}
+			},
+			"restore": func(*rapid.T) {
+				history, _ := world.current()
+				if len(world.histories) < _maxEras {
+					world.restore(len(history) - pick(min(len(history), _maxLostChanges)+1))
+				}
+			},
 			"configure": func(*rapid.T) { world.configure(1 + pick(2)*_maxDeltaSize) },
 			"server": func(*rapid.T) {
 				state := target.State(pick(int(target.StateDraining) + 1))
@@ -143,7 +155,8 @@
 		world.tick(_tickInterval)
 	}
 	for _, state := range world.states {
-		c.Assert(state.catalog.Revision(), qt.Equals, world.next()-1)
-		c.Assert(state.catalog.Routes().Version, qt.Equals, route.Version(_beliefInstances+2))
+		_, revision := world.current()
+		c.Assert(state.catalog.Revision(), qt.Equals, revision)
+		c.Assert(state.catalog.Routes().Version, qt.Equals, world.version)
 	}
 }
--- a/core/entry/belief_world_test.go
+++ b/core/entry/belief_world_test.go
@@ -16,8 +16,13 @@
 
 // beliefWorld is a store and instances whose calls and messages are answered, delivered, repeated or lost in any order.
 type beliefWorld struct {
-	now     time.Duration
-	history []storeChange
+	now time.Duration
+	// histories holds the changes of the store in each era, the last of which is the current one.
+	histories [][]storeChange
+	// version is the version of the last configuration, and lost holds those that a restore has lost. Instances forget
+	// these once neither the store nor another instance has them.
+	version route.Version
+	lost    map[route.Version]bool
 	states  []*State
 	// incomplete holds when the instances that lack a configuration had confirmed their state before.
 	incomplete map[*State]time.Duration
@@ -29,6 +34,8 @@
 type beliefCall struct {
 	caller *State
 	effect Effect
+	// served is the answer that is on its way, or nil.
+	served Event
 }
 
 type beliefMessage struct {
@@ -40,14 +47,20 @@
 	_beliefInstances = 4
 	_beliefServers   = 3
 	_beliefSeries    = 4
+	// _maxEras bounds the number of restores, and _maxLostChanges what each of them loses.
+	_maxEras        = 3
+	_maxLostChanges = 4
 )
 
 func newBeliefWorld() *beliefWorld {
-	world := &beliefWorld{now: time.Second, incomplete: make(map[*State]time.Duration)}
+	world := &beliefWorld{
+		now: time.Second, incomplete: make(map[*State]time.Duration), histories: [][]storeChange{nil},
+		lost: make(map[route.Version]bool),
+	}
 	world.configure(1)
 	for index := range _beliefInstances {
 		self := beliefSelf(index, 1)
-		world.history = append(world.history, storeChange{entry: catalog.Entry{Revision: world.next(), Instance: &self}})
+		world.write(storeChange{entry: catalog.Entry{Instance: &self}})
 		world.states = append(world.states, nil)
 		world.start(index)
 	}
@@ -61,30 +74,65 @@
 	}
 }
 
-func (world *beliefWorld) next() store.Revision {
-	return store.Revision(len(world.history) + 1)
+// revisionIn returns the revision with a number in the era with an index.
+func revisionIn(era, number int) store.Revision {
+	return must(store.NewRevision(store.Era(era), uint64(number)))
+}
+
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// current returns the history of the current era, and its last revision.
+func (world *beliefWorld) current() ([]storeChange, store.Revision) {
+	era := len(world.histories) - 1
+	return world.histories[era], revisionIn(era, len(world.histories[era]))
+}
+
+// write adds a change to the store.
+func (world *beliefWorld) write(change storeChange) {
+	era := len(world.histories) - 1
+	change.entry.Revision = revisionIn(era, len(world.histories[era])+1)
+	world.histories[era] = append(world.histories[era], change)
+}
+
+// restore brings the store back from a copy that has only the first changes.
+func (world *beliefWorld) restore(changes int) {
+	history, _ := world.current()
+	world.histories = append(world.histories, nil)
+	for _, change := range history[:changes] {
+		world.write(change)
+	}
+	for _, change := range history[changes:] {
+		if change.config != nil {
+			world.lost[change.config.Version] = true
+		}
+	}
 }
 
 // configure writes a version that differs from the one before by more routes than fit into a message, or by one.
 func (world *beliefWorld) configure(routes int) {
-	version := route.Version(len(world.history) + 1)
-	config := route.Config{Version: version}
+	world.version++
+	config := route.Config{Version: world.version}
 	for port := range uint16(routes) {
 		config.Routes = append(config.Routes, route.Route{
-			Endpoint: packet.Endpoint{Port: port}, Timeout: time.Duration(version) * time.Second,
+			Endpoint: packet.Endpoint{Port: port}, Timeout: time.Duration(world.version) * time.Second,
 		})
 	}
-	world.history = append(world.history, storeChange{entry: catalog.Entry{Revision: world.next()}, config: &config})
+	world.write(storeChange{config: &config})
 }
 
 func (world *beliefWorld) register(number int, state target.State) {
 	name := id.Target(fmt.Sprintf("i-%d", number))
-	entry := catalog.Entry{Revision: world.next(), MissingServer: name}
+	entry := catalog.Entry{MissingServer: name}
 	if state != 0 {
 		server := target.Target{ID: name, Number: target.Number(number), State: state}
-		entry = catalog.Entry{Revision: world.next(), Server: &server}
+		entry = catalog.Entry{Server: &server}
 	}
-	world.history = append(world.history, storeChange{entry: entry})
+	world.write(storeChange{entry: entry})
 }
 
 // start starts an instance, or starts it again without what it knew.
@@ -123,25 +171,25 @@
 	return nil
 }
 
-// answer ends a call, with what the store or the other instance has now, or with a failure.
-func (world *beliefWorld) answer(call beliefCall, succeeds bool) {
+// serve returns the answer to a call as of now, or its failure.
+func (world *beliefWorld) serve(call beliefCall, succeeds bool) Event {
+	history, revision := world.current()
 	switch effect := call.effect.(type) {
 	case List:
 		if !succeeds {
-			world.reduce(call.caller, ReadFailed{At: world.now})
-			return
+			return ReadFailed{}
 		}
 		entries, config := world.content()
-		world.reduce(call.caller, Listed{
-			At: world.now, RequestedAt: world.now, Entries: entries, Config: config, Revision: world.next() - 1,
-		})
+		return Listed{RequestedAt: world.now, Entries: entries, Config: config, Revision: revision}
 	case Follow:
+		if effect.After.Era() != revision.Era() {
+			return ReadFailed{HistoryLost: true}
+		}
 		if !succeeds {
-			world.reduce(call.caller, ReadFailed{At: world.now, Unreadable: len(world.history)%2 == 0})
-			return
+			return ReadFailed{Unreadable: len(history)%2 == 0}
 		}
-		followed := Followed{At: world.now, RequestedAt: world.now, After: effect.After, Revision: world.next() - 1}
-		for _, change := range world.history[effect.After:] {
+		followed := Followed{RequestedAt: world.now, After: effect.After, Revision: revision}
+		for _, change := range history[effect.After.Number():] {
 			followed.Changes++
 			if change.config != nil {
 				followed.Config = change.config
@@ -149,21 +197,47 @@
 				followed.Entries = append(followed.Entries, change.entry)
 			}
 		}
-		world.reduce(call.caller, followed)
+		return followed
 	case ReadConfig:
-		read := ConfigRead{At: world.now}
-		if succeeds {
-			_, read.Config = world.content()
+		if !succeeds {
+			return ConfigRead{}
 		}
-		world.reduce(call.caller, read)
+		_, config := world.content()
+		return ConfigRead{Config: config}
 	case Fetch:
-		other := world.at(effect.From)
-		view := other.View(world.now, effect.Known)
+		view := world.at(effect.From).View(world.now, effect.Known)
 		if !succeeds || view.Revision == 0 {
-			world.reduce(call.caller, FetchFailed{At: world.now, From: effect.From})
-			return
+			return FetchFailed{From: effect.From}
 		}
-		world.reduce(call.caller, Fetched{At: world.now, From: effect.From, View: view})
+		return Fetched{From: effect.From, View: view}
+	}
+	return nil
+}
+
+// answer ends a call with the answer that was served, or with that of now.
+func (world *beliefWorld) answer(call beliefCall, succeeds bool) {
+	if call.served == nil {
+		call.served = world.serve(call, succeeds)
+	}
+	switch event := call.served.(type) {
+	case Listed:
+		event.At = world.now
+		world.reduce(call.caller, event)
+	case Followed:
+		event.At = world.now
+		world.reduce(call.caller, event)
+	case ReadFailed:
+		event.At = world.now
+		world.reduce(call.caller, event)
+	case ConfigRead:
+		event.At = world.now
+		world.reduce(call.caller, event)
+	case Fetched:
+		event.At = world.now
+		world.reduce(call.caller, event)
+	case FetchFailed:
+		event.At = world.now
+		world.reduce(call.caller, event)
 	}
 }
 
@@ -171,7 +245,8 @@
 func (world *beliefWorld) content() ([]catalog.Entry, *route.Config) {
 	latest := make(map[string]catalog.Entry)
 	var config *route.Config
-	for _, change := range world.history {
+	history, _ := world.current()
+	for _, change := range history {
 		switch entry := change.entry; {
 		case change.config != nil:
 			config = change.config
@@ -184,7 +259,7 @@
 		}
 	}
 	entries := make([]catalog.Entry, 0, len(latest))
-	for _, change := range world.history {
+	for _, change := range history {
 		if entry := change.entry; entry.Server != nil && latest[string(entry.Server.ID)].Revision == entry.Revision ||
 			entry.Instance != nil && latest[string(entry.Instance.Name)].Revision == entry.Revision {
 			entries = append(entries, entry)
