Keep a configuration that was named while an older one was read

An instance could forget a configuration that it lacked, and count itself up to date without it until another instance named it again.

Cause: the answer to a read of the store with an older version was taken for a sign that a restore had lost the newest one, also if that was named after the read had begun. If the holder then failed to answer, the version was given up.

Evidence: TestConfigurationNamedDuringARead fails before: version 6 is forgotten after the answer to a read for version 5.

Change: a read remembers the newest version at its start; its answer says nothing about a newer one.

--- a/core/entry/belief_test.go
+++ b/core/entry/belief_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -59,6 +60,29 @@
 	world.incomplete[state] = state.reading.confirmedAt
 }
 
+// storeActions are the changes of the store and its answers, with a choice of a number below a length.
+func (world *beliefWorld) storeActions(pick func(length int) int) map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"serve": func(*rapid.T) {
+			if len(world.calls) > 0 {
+				call := &world.calls[pick(len(world.calls))]
+				call.served = world.serve(*call, true)
+			}
+		},
+		"restore": func(*rapid.T) {
+			history, _ := world.current()
+			if len(world.histories) < _maxEras {
+				world.restore(len(history) - pick(min(len(history), _maxLostChanges)+1))
+			}
+		},
+		"configure": func(*rapid.T) { world.configure(1 + pick(2)*_maxDeltaSize) },
+		"server": func(*rapid.T) {
+			state := target.State(pick(int(target.StateDraining) + 1))
+			world.register(pick(_beliefServers), state)
+		},
+	}
+}
+
 // TestBeliefs guards against an instance that counts itself up to date at a revision without a value that changes up to
 // it left, whatever is lost, late, repeated or out of order, and whoever starts or leaves in between.
 func TestBeliefs(t *testing.T) {
@@ -100,28 +124,12 @@
 					world.messages = world.messages[1:]
 				}
 			},
-			"serve": func(*rapid.T) {
-				if len(world.calls) > 0 {
-					call := &world.calls[pick(len(world.calls))]
-					call.served = world.serve(*call, true)
-				}
-			},
-			"restore": func(*rapid.T) {
-				history, _ := world.current()
-				if len(world.histories) < _maxEras {
-					world.restore(len(history) - pick(min(len(history), _maxLostChanges)+1))
-				}
-			},
-			"configure": func(*rapid.T) { world.configure(1 + pick(2)*_maxDeltaSize) },
-			"server": func(*rapid.T) {
-				state := target.State(pick(int(target.StateDraining) + 1))
-				world.register(pick(_beliefServers), state)
-			},
 			"restart":     func(*rapid.T) { world.start(pick(_beliefInstances)) },
 			"tick":        func(*rapid.T) { world.tick(time.Duration(1+pick(10)) * 100 * time.Millisecond) },
 			"longer tick": func(*rapid.T) { world.tick(time.Duration(1+pick(3)) * time.Second) },
 			"":            world.assertBeliefs,
 		}
+		maps.Copy(actions, world.storeActions(pick))
 		// A configuration is missed only after a chain of some ten steps.
 		for range _beliefSeries {
 			t.Repeat(actions)
--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -44,9 +44,9 @@
 	// _openSilenceFraction is the fraction of the strictest limit for which an open connection to the store may be silent.
 	// The rest of the limit covers a direct read on a new connection.
 	_openSilenceFraction = 1.0 / 6
-	// _newSilenceFraction is that fraction for a new connection. The store responds within a few milliseconds, and at times
-	// up to a hundred times slower. _pageSilenceFraction is that for a page of a listing, which many instances request at
-	// once when all of them start.
+	// _newSilenceFraction is that fraction for a new connection. The store responds within a few milliseconds, and at
+	// times up to a hundred times slower. _pageSilenceFraction is that for a page of a listing, which many instances
+	// request at once when all of them start.
 	_newSilenceFraction  = 1.0 / 3
 	_pageSilenceFraction = 1.0 / 2
 	// _readFraction is the fraction of the strictest limit for the whole answer with changes or a configuration. The rest
--- a/core/entry/configread.go
+++ b/core/entry/configread.go
@@ -10,9 +10,10 @@
 // configReading is the state of reads of a configuration that this instance lacks. Updates name versions that are too
 // large for a message, and advance the revision past them.
 type configReading struct {
-	// pending says that a ReadConfig is in progress, since startedAt.
+	// pending says that a ReadConfig is in progress since startedAt, when wanted was the newest version.
 	pending   bool
 	startedAt time.Duration
+	wanted    route.Version
 	// newest is the newest version that is known to exist, and holder an instance that had it, if any is known.
 	newest route.Version
 	holder netip.AddrPort
@@ -68,7 +69,7 @@
 		state.retryConfigRead()
 		return
 	}
-	reading.pending, reading.startedAt = true, state.now
+	reading.pending, reading.startedAt, reading.wanted = true, state.now, reading.newest
 	delay := time.Duration(state.config.Random() * float64(_configReadJitter))
 	state.emit(ReadConfig{Delay: delay, Limits: state.readLimits()})
 }
@@ -77,7 +78,8 @@
 	state.configReading.pending = false
 	state.configure(event.Config)
 	if state.missingConfig() != 0 {
-		state.configReading.lost = event.Config != nil
+		// An answer to a read from before the newest version was known says nothing about that.
+		state.configReading.lost = event.Config != nil && state.configReading.wanted == state.configReading.newest
 		state.retryConfigRead()
 	}
 }
--- a/core/entry/configread_test.go
+++ b/core/entry/configread_test.go
@@ -112,6 +112,29 @@
 	c.Assert(countReads(effects), qt.Equals, 0)
 }
 
+// TestConfigurationNamedDuringARead guards against an instance that forgets a configuration because the answer to a
+// read from before its time has an older one.
+func TestConfigurationNamedDuringARead(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 321, 2, 1)
+	cluster.checkFor(8 * time.Second)
+	receiver, sender := cluster.orderedNodes()[0], cluster.orderedNodes()[1]
+	update := updateTo(receiver, sender)
+	receiver.state.Reduce(MessageReceived{At: cluster.now, Message: update})
+	older := receiver.state.catalog.Routes()
+	older.Version = update.Config
+	update.Config++
+	receiver.state.Reduce(MessageReceived{At: cluster.now, Message: update})
+	receiver.state.Reduce(ConfigRead{At: cluster.now, Config: &older})
+	receiver.state.Reduce(FetchFailed{At: cluster.now, From: sender.self.Address})
+	c.Assert(receiver.state.missingConfig(), qt.Equals, update.Config)
+	effects := receiver.state.Reduce(Tick{At: cluster.now + _maxBackoff})
+	c.Assert(countReads(effects), qt.Equals, 1)
+	receiver.state.Reduce(ConfigRead{At: cluster.now + _maxBackoff, Config: &older})
+	receiver.state.Reduce(FetchFailed{At: cluster.now + _maxBackoff, From: sender.self.Address})
+	c.Assert(receiver.state.missingConfig(), qt.Equals, route.Version(0))
+}
+
 func assertNoFetch(c *qt.C, effects []Effect) {
 	c.Helper()
 	for _, effect := range effects {
