Model what instances believe of the configuration

What callers saw: nothing; the model states for all schedules what TestBeliefs draws at random: an instance that counts itself up to date at a revision has the configuration that the changes up to it left, or knows that it lacks it.

The model has restores, late answers, lost, late and repeated updates, failed reads and restarts.

--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// TestBeliefsOfInstances checks that an instance never counts itself up to date at a revision without a configuration
+// that the changes up to it left, and that each safeguard is needed for that.
+func TestBeliefsOfInstances(t *testing.T) {
+	t.Run("Holds", func(t *testing.T) {
+		t.Parallel()
+		assertHolds(t, "belief")
+	})
+	for _, safeguard := range []string{
+		"NO_MISSING", "NO_NAMING", "NO_CONFIRM_CHECK", "NO_ERA", "NO_WANTED", "NO_STORE_CHECK",
+	} {
+		t.Run(safeguard, func(t *testing.T) {
+			t.Parallel()
+			assertFails(t, "belief", "-D"+safeguard)
+		})
+	}
+}
+
 func assertHolds(t *testing.T, model string, flags ...string) {
 	t.Helper()
 	exact := []string{"-O1", "-DCOLLAPSE"}
