Limit the probes that an instance has in progress

When the registrations of all servers lapse with the store, each instance probed all of them at once: at 16,000 servers as many connections, against 2,870 descriptors.

Cause: each missing registration is a reason for a probe, and nothing counted those in progress.

Evidence: TestProbesAfterAMassLapse fails before with 16,000 probes at once.

Change: at most 32 are in progress, the others wait. Servers for which callers wait, and those that another instance has found dead, come first (TestProbeOfAStalledServer). A probe takes some milliseconds, or 150 ms if the server is silent.

--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -151,6 +151,9 @@
 	_changeHistory = 512
 	// _maxEntries is the number of store changes that fit into one message along with changes of routes.
 	_maxEntries = 6
+	// _maxProbes is the number of probes of backend servers that may be in progress. Each takes a connection, and
+	// registrations may lapse all at once.
+	_maxProbes = 32
 	// _maxLoads is the number of loads in one message. Full messages keep an instance below 17 KB a second.
 	_maxLoads = 45
 	// _forgetInterval is the interval at which expired state is purged.
--- a/core/entry/evidence.go
+++ b/core/entry/evidence.go
@@ -45,11 +45,11 @@
 		own := finding.Domain == state.config.Self.Domain
 		switch {
 		case finding.Condition == steer.Dead:
-			state.requestProbe(finding.Server)
+			state.requestUrgentProbe(finding.Server)
 		case own:
 			state.applyConditionChanges(state.detector.Corroborate(state.now, finding.Server))
 			if state.inUse(finding.Server) {
-				state.requestProbe(finding.Server)
+				state.requestUrgentProbe(finding.Server)
 			}
 		}
 		if own || finding.Condition == steer.Dead {
--- a/core/entry/probe.go
+++ b/core/entry/probe.go
@@ -7,10 +7,63 @@
 	"azureshift/core/steer"
 )
 
+// probing is the state of the probes of backend servers.
+type probing struct {
+	// inProgress is the number of probes in progress.
+	inProgress int
+	// waiting holds the servers that are to be probed; urgent and later hold their order. A server may be in both.
+	waiting       map[id.Target]bool
+	urgent, later []id.Target
+}
+
+// add queues a probe of a server. Urgent ones come first: callers wait for an answer of the server.
+func (probing *probing) add(name id.Target, urgent bool) {
+	if probing.waiting == nil {
+		probing.waiting = make(map[id.Target]bool)
+	}
+	probing.waiting[name] = true
+	if urgent {
+		probing.urgent = append(probing.urgent, name)
+	} else {
+		probing.later = append(probing.later, name)
+	}
+}
+
+// next removes the server from the queue that is to be probed now, and reports whether there is one.
+func (probing *probing) next() (id.Target, bool) {
+	for probing.inProgress < _maxProbes {
+		queue := &probing.urgent
+		if len(*queue) == 0 {
+			queue = &probing.later
+		}
+		if len(*queue) == 0 {
+			return "", false
+		}
+		name := (*queue)[0]
+		*queue = (*queue)[1:]
+		if probing.waiting[name] {
+			delete(probing.waiting, name)
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // handleServerStalled probes a backend server that did not answer a client's packets.
 func (state *State) handleServerStalled(cookie packet.Cookie) {
 	if name, ok := state.publishing.cookies[cookie]; ok {
-		state.requestProbe(name)
+		state.requestUrgentProbe(name)
+	}
+}
+
+// requestUrgentProbe probes a server for which callers wait before servers that only lack a registration.
+func (state *State) requestUrgentProbe(name id.Target) {
+	if state.probing.waiting[name] {
+		state.probing.add(name, true)
+		return
+	}
+	if _, ok := state.catalog.Server(name); ok && state.detector.RequestProbe(state.now, name) {
+		state.probe(name, true)
 	}
 }
 
@@ -25,7 +78,7 @@
 
 func (state *State) requestProbe(name id.Target) {
 	if _, ok := state.catalog.Server(name); ok && state.detector.RequestProbe(state.now, name) {
-		state.probe(name)
+		state.probe(name, false)
 	}
 }
 
@@ -40,13 +93,30 @@
 	state.applyConditionChanges(state.detector.ObserveTraffic(state.now, name, observation.SinceAnswer,
 		observation.Retransmissions))
 	if observation.Retransmissions > 0 {
-		state.requestProbe(name)
+		state.requestUrgentProbe(name)
+	}
+}
+
+// probe probes a server as soon as fewer than _maxProbes are in progress.
+func (state *State) probe(name id.Target, urgent bool) {
+	state.probing.add(name, urgent)
+	state.startProbes()
+}
+
+func (state *State) startProbes() {
+	for {
+		name, ok := state.probing.next()
+		if !ok {
+			return
+		}
+		state.startProbe(name)
 	}
 }
 
-func (state *State) probe(name id.Target) {
+func (state *State) startProbe(name id.Target) {
 	record, ok := state.catalog.Server(name)
 	if !ok {
+		state.detector.Remove(name)
 		return
 	}
 	path := _defaultHealthPath
@@ -55,6 +125,7 @@
 			path = service.HealthPath
 		}
 	}
+	state.probing.inProgress++
 	state.emit(Probe{Server: name, Address: record.Address, Path: path})
 }
 
@@ -62,6 +133,8 @@
 const _defaultHealthPath = "/"
 
 func (state *State) handleProbed(event Probed) {
+	state.probing.inProgress--
+	defer state.startProbes()
 	if _, ok := state.catalog.Server(event.Server); !ok {
 		state.detector.Remove(event.Server)
 		return
@@ -72,7 +145,7 @@
 		state.reportFinding(event.Server, steer.Unreachable)
 	}
 	if retry {
-		state.probe(event.Server)
+		state.probe(event.Server, true)
 	}
 }
 
@@ -104,6 +177,6 @@
 		return ok && !record.Missing
 	}
 	for _, name := range state.detector.StartDueProbes(state.now, needed) {
-		state.probe(name)
+		state.probe(name, false)
 	}
 }
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -33,6 +33,7 @@
 	publishing    publishing
 
 	evidenceQueue evidenceQueue
+	probing       probing
 
 	now       time.Duration
 	startedAt time.Duration
