Limit the flows that an instance tracks

A client that opens flows without end, or sends packets of flows that it makes up, could end an instance: each flow is remembered for at least 10 s.

Cause: the traffic thread kept a record of every flow, without a limit.

Change: flows are tracked in a tenth of the memory of the machine, 160 bytes each. Packets of further flows are forwarded by their cookie as before, but not measured; FlowsUntracked and azureshift_packets_untracked_total say so. At the aim of 14 million flows on 2,000 instances each has 7,000; the limit of the smallest is 76,000.

--- a/core/entry/restart_test.go
+++ b/core/entry/restart_test.go
@@ -33,7 +33,7 @@
 		c.Assert(cluster.now-restarted.table.ConfirmedAt >= lag, qt.IsTrue)
 	})
 	c.Run("resets no flow of a server that it does not know", func(c *qt.C) {
-		steering := steer.New()
+		steering := steer.New(steer.Config{})
 		steering.SetTable(restarted.table)
 		decision := steering.Decide(cluster.now, packet.Header{Cookie: target.CookieOf(joined.Number), Length: 100})
 		c.Assert(decision.Action.String(), qt.Equals, steer.Drop.String())
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -26,11 +26,23 @@
 	_defaultRequestTimeout = 5 * time.Second
 )
 
+// FlowSize is the memory in bytes that a tracked flow takes.
+const FlowSize = 160
+
+// Config configures a Steering.
+type Config struct {
+	// MaxFlows is the number of flows that are tracked; zero means any. Packets of others are forwarded, but not measured.
+	MaxFlows int
+}
+
 // Steering tracks flows and decides on packets. It is not safe for concurrent use.
 type Steering struct {
-	table    *Table
-	flows    map[packet.Flow]*flow
-	counters map[packet.Cookie]*counters
+	config Config
+	table  *Table
+	flows  map[packet.Flow]*flow
+	// untracked is the number of packets of flows that could not be tracked, since TakeUntracked.
+	untracked int
+	counters  map[packet.Cookie]*counters
 	// demands holds the recent demand of each service.
 	demands map[id.Service]*demand
 	// reportedAt is when the last report was made, and reportedInProgress the sum of its requests in progress.
@@ -43,8 +55,9 @@
 }
 
 // New returns a Steering without flows and with an empty table.
-func New() *Steering {
+func New(config Config) *Steering {
 	return &Steering{
+		config:   config,
 		table:    &Table{},
 		flows:    make(map[packet.Flow]*flow),
 		counters: make(map[packet.Cookie]*counters),
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -73,7 +73,7 @@
 var _chioscoShares = []route.Share{{Service: "chiosco", Weight: 1}}
 
 func newSteering(table *Table) *Steering {
-	steering := New()
+	steering := New(Config{})
 	steering.SetTable(table)
 	return steering
 }
@@ -113,7 +113,7 @@
 		}
 	})
 	c.Run("is dropped while no configuration is known", func(c *qt.C) {
-		assertDecision(c, New().Decide(0, syn(1, _feeds, 0)), Drop, NoConfig)
+		assertDecision(c, New(Config{}).Decide(0, syn(1, _feeds, 0)), Drop, NoConfig)
 	})
 	c.Run("is refused without a route", func(c *qt.C) {
 		assertDecision(c, newSteering(tableOf(server(1, "a"))).Decide(0, syn(1, _unrouted, 0)), Reset, NoRoute)
--- a/core/steer/track.go
+++ b/core/steer/track.go
@@ -18,15 +18,34 @@
 
 func (steering *Steering) addFlow(now time.Duration, header packet.Header, server *Server) {
 	steering.removeFlow(now, header.Flow)
+	counters := steering.countersOf(server.Cookie, now)
+	counters.recordOpened(now)
+	if !steering.hasRoom() {
+		return
+	}
 	steering.flows[header.Flow] = &flow{
 		cookie: server.Cookie, initialSequence: header.Sequence, openingSent: now, lastSeen: now, halfOpen: true,
 	}
-	counters := steering.countersOf(server.Cookie, now)
-	counters.recordOpened(now)
 	counters.halfOpen++
 	steering.inProgress++
 }
 
+// hasRoom reports whether another flow can be tracked, and counts a packet if not.
+func (steering *Steering) hasRoom() bool {
+	if steering.config.MaxFlows == 0 || len(steering.flows) < steering.config.MaxFlows {
+		return true
+	}
+	steering.untracked++
+	return false
+}
+
+// TakeUntracked returns the number of packets since the last call whose flows could not be tracked.
+func (steering *Steering) TakeUntracked() int {
+	untracked := steering.untracked
+	steering.untracked = 0
+	return untracked
+}
+
 // track updates the state of a packet's flow and server. Data is a request, or a retransmission if it was sent before;
 // an acknowledgement that advances is an answer. It reports whether the packet is the first sign that the server does
 // not answer, and whether it carries new data. If the packet is the first to acknowledge an answer, it returns the
@@ -37,6 +56,9 @@
 	counters := steering.countersOf(header.Cookie, now)
 	end := header.Sequence + uint32(header.Length)
 	tracked, ok := steering.flows[header.Flow]
+	if !ok && !steering.hasRoom() {
+		return false, false, 0
+	}
 	if !ok || tracked.cookie != header.Cookie || tracked.halfOpen {
 		if ok {
 			steering.countHandshake(now, header, tracked)
--- a/entry/control.go
+++ b/entry/control.go
@@ -193,8 +193,12 @@
 func (daemon *Daemon) runMaintenance(now time.Duration) {
 	daemon.mu.Lock()
 	daemon.steering.Expire(now)
-	flows := daemon.steering.FlowCount()
+	flows, untracked := daemon.steering.FlowCount(), daemon.steering.TakeUntracked()
 	daemon.mu.Unlock()
+	if untracked > 0 {
+		daemon.metrics.packetsUntracked.Inc(int64(untracked))
+		daemon.log.Log(event.FlowsUntracked, event.Fields{"Packets": untracked, "Flows": flows})
+	}
 	daemon.metrics.flows.Update(float64(flows))
 	if now-daemon.serversCounted >= _serverCountPeriod {
 		daemon.serversCounted = now
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -36,6 +36,10 @@
 	// _maxViewTransfers is the maximum number of large views that are sent concurrently. One such view can fill a small
 	// link, which client packets share, for a tenth of a second. An instance that is refused reads from the store.
 	_maxViewTransfers = 2
+	// _flowMemoryShare is the divisor of the memory of the machine for the flows that the instance tracks. Anyone can open
+	// flows.
+	_flowMemoryShare = 10
+	_bytesPerMB      = 1_000_000
 	// _millicoresPerCore converts processor cores to the unit in which other instances learn this one's capacity.
 	_millicoresPerCore = 1000
 )
@@ -116,7 +120,9 @@
 		viewQueries: make(chan viewQuery),
 		firstReady:  make(chan struct{}),
 		relayClient: relay.NewClient(),
-		steering:    steer.New(),
+		steering: steer.New(steer.Config{
+			MaxFlows: config.Settings.Machine.MemoryMB * _bytesPerMB / _flowMemoryShare / steer.FlowSize,
+		}),
 	}
 	daemon.store = platform.NewStoreClient(platform.StoreConfig{
 		Address: config.Settings.Store.Address.String(), OnSilence: daemon.logSilence, MaxValue: maxValue,
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -44,7 +44,7 @@
 func BenchmarkPacketInMemory(b *testing.B) {
 	const flows = 7000
 	server := target.Target{ID: "i-1", Number: 1, Address: netip.MustParseAddrPort("127.0.0.1:1")}
-	steering := steer.New()
+	steering := steer.New(steer.Config{})
 	steering.SetTable(tableWith(server))
 	packets := make([][]byte, flows)
 	for index := range packets {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -38,6 +38,8 @@
 	servers          serverGauges
 	packetsMalformed tally.Counter
 	flowsAbandoned   tally.Counter
+	// packetsUntracked counts packets of flows that were not tracked for want of memory.
+	packetsUntracked tally.Counter
 	storeCalls       map[storeCall]tally.Counter
 	storeFailures    tally.Counter
 	storeRepeats     tally.Counter
@@ -72,6 +74,7 @@
 	created.flows = scope.Gauge("flows")
 	created.servers = serverGauges{scope: scope, byService: make(map[id.Service]map[ServerCondition]tally.Gauge)}
 	created.packetsMalformed = scope.Counter("packets_malformed_total")
+	created.packetsUntracked = scope.Counter("packets_untracked_total")
 	created.flowsAbandoned = scope.Counter("flows_abandoned_total")
 	created.storeCalls = make(map[storeCall]tally.Counter)
 	for _, call := range storeCalls() {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -245,4 +245,7 @@
 	ConnectionSilent = defineLimited(1221, "ConnectionSilent", _warn,
 		"open connection to the metadata store is silent, the read is repeated on a new one",
 		"Check the network to the store if it repeats.")
+	FlowsUntracked = defineLimited(1222, "FlowsUntracked", _warn,
+		"more flows than the memory allows, further ones are forwarded without being measured",
+		"Check whether clients open flows without need; give the machine more memory, or add instances.")
 )
--- a/experiment/load/policy.go
+++ b/experiment/load/policy.go
@@ -47,7 +47,7 @@
 func newPolicy(policyName PolicyName, simulation *simulation) Policy {
 	switch policyName {
 	case Steered:
-		return &steeringPolicy{simulation: simulation, steering: steer.New()}
+		return &steeringPolicy{simulation: simulation, steering: steer.New(steer.Config{})}
 	case Hashed, Ideal:
 		return &choicePolicy{simulation: simulation, choose: chooseByHash}
 	case InTurn:
