Limit the size of settings and key files and of request headers

What callers saw: nothing. The settings file is read again every two seconds; one of a gigabyte, or a path that leads to a device, would have ended the instance, and a file with thousands of unknown fields an error text of megabytes.

Cause: files were read whole whatever their size, faults were collected and quoted without a limit, and the pages of an instance took request headers of a megabyte.

Change: files of operators have at most 64 KiB (io/file), a set of settings names at most 100 faults and quotes 200 bytes of a text, headers have at most 16 KiB.

--- a/cmd/azureshift-entry/command/command.go
+++ b/cmd/azureshift-entry/command/command.go
@@ -15,6 +15,7 @@
 
 	"azureshift/cli"
 	"azureshift/entry"
+	"azureshift/io/file"
 	"azureshift/settings"
 	"azureshift/version"
 )
@@ -78,7 +79,7 @@
 
 // load reads the settings file. Its error has a line for each fault in the settings.
 func load(path string) (settings.Entry, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := file.Read(path)
 	if err != nil {
 		return settings.Entry{}, cli.Usagef("%v; set %s or -settings", err, SettingsVariable)
 	}
--- a/daemon/open.go
+++ b/daemon/open.go
@@ -1,12 +1,11 @@
 package daemon
 
 import (
-	"os"
-
 	"github.com/rotisserie/eris"
 
 	"azureshift/bundle"
 	"azureshift/event"
+	"azureshift/io/file"
 	"azureshift/io/operator"
 	"azureshift/io/peer"
 	"azureshift/io/platform"
@@ -96,7 +95,7 @@
 func loadPublicKeys(paths []string) (bundle.KeyRing, error) {
 	var joined []byte
 	for _, path := range paths {
-		raw, err := os.ReadFile(path)
+		raw, err := file.Read(path)
 		if err != nil {
 			return bundle.KeyRing{}, eris.Wrapf(err, "read %s; correct Bundle.PublicKeyFiles", path)
 		}
--- a/entry/pages.go
+++ b/entry/pages.go
@@ -18,6 +18,8 @@
 	// _pageTimeout is the timeout for reading a request and for writing a page, so that stalled clients do not hold
 	// connections.
 	_pageTimeout = 5 * time.Second
+	// _maxHeaderBytes bounds the headers of a request.
+	_maxHeaderBytes = 16 << 10
 	// _viewTimeout is the timeout for a view from the control loop.
 	_viewTimeout = time.Second
 )
@@ -49,6 +51,7 @@
 	server := &http.Server{
 		Addr: address.String(), Handler: handler,
 		ReadTimeout: _pageTimeout, WriteTimeout: _pageTimeout, IdleTimeout: _pageTimeout,
+		MaxHeaderBytes: _maxHeaderBytes,
 	}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	if err := server.ListenAndServe(); ctx.Err() == nil {
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -10,6 +10,7 @@
 
 	core "azureshift/core/entry"
 	"azureshift/event"
+	"azureshift/io/file"
 	"azureshift/settings"
 )
 
@@ -50,7 +51,7 @@
 	if daemon.path == "" {
 		return nil, nil
 	}
-	return os.ReadFile(daemon.path)
+	return file.Read(daemon.path)
 }
 
 func (daemon *Daemon) settingsFailed(err error) bool {
--- a/io/peer/key.go
+++ b/io/peer/key.go
@@ -6,9 +6,10 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"os"
 
 	"github.com/rotisserie/eris"
+
+	"azureshift/io/file"
 )
 
 // KeySize is the size of a shared key in bytes.
@@ -68,7 +69,7 @@
 }
 
 func loadKey(path string) (Key, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := file.Read(path)
 	if err != nil {
 		return Key{}, eris.Wrap(KeyError{Path: path, Reason: err.Error()}, "load shared keys")
 	}
--- a/settings/fault.go
+++ b/settings/fault.go
@@ -20,7 +20,13 @@
 	return fmt.Sprintf("%s: %s; %s", fault.Field, fault.Problem, fault.Remedy)
 }
 
-// FaultList is an error that holds all faults of one set of settings.
+// _maxFaults is the number of faults that are listed. Further ones are seldom faults of their own.
+const _maxFaults = 100
+
+// _maxQuoted is the length in bytes of a text that a fault quotes.
+const _maxQuoted = 200
+
+// FaultList is an error that holds all faults of one set of settings, up to _maxFaults of them.
 type FaultList []Fault
 
 var _ error = FaultList{}
@@ -36,7 +42,18 @@
 }
 
 func (faults *FaultList) add(field, problem, remedy string) {
-	*faults = append(*faults, Fault{Field: field, Problem: problem, Remedy: remedy})
+	if len(*faults) >= _maxFaults {
+		return
+	}
+	*faults = append(*faults, Fault{Field: beginning(field), Problem: beginning(problem), Remedy: remedy})
+}
+
+// beginning returns the part of a text that a fault quotes.
+func beginning(text string) string {
+	if len(text) <= _maxQuoted {
+		return text
+	}
+	return text[:_maxQuoted] + "..."
 }
 
 // asError returns the faults as an error, or nil if there are none.
--- a/settings/load.go
+++ b/settings/load.go
@@ -1,15 +1,16 @@
 package settings
 
 import (
-	"os"
 	"reflect"
 
 	"github.com/rotisserie/eris"
+
+	"azureshift/io/file"
 )
 
 // Load reads settings from the file at path, fills in defaults and validates them.
 func Load(path string) (Settings, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := file.Read(path)
 	if err != nil {
 		return Settings{}, eris.Wrapf(err, "read settings; check the path %q", path)
 	}
