Keep the number of a server for its first registration

What callers saw: nothing here. Told by operators of systems like ours: an odd entry among those of the servers ends service for others. An entry of a configured service with the number of a live server and an earlier start time took that server's flows.

Cause: start times are what a writer says of itself. Of two entries with one number the earlier started went first.

Evidence: TestRegistrationWithANumberInUse fails before for a server "that started earlier", in three of three cases; TestNumberOfADeadRegistration fails before.

Change: the number belongs to the entry that the store created first, unless its server was found dead. A registration that lapses with the store and comes back keeps its place at the instances that know it. Two numbers with one cookie are ordered as before.

Open: an instance that starts after such a lapse knows only the later creation; it prefers the odd entry until that is found dead.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -16,8 +16,9 @@
 // Entry is one change of a registration. One of Server, MissingServer, Instance and MissingInstance is set.
 type Entry struct {
 	Revision store.Revision `cbor:"1,keyasint"`
-	// Server is the new registration of a backend server.
-	Server *target.Target `cbor:"2,keyasint,omitempty"`
+	// Server is the new registration of a backend server, and Created the revision at which it registered first.
+	Server  *target.Target `cbor:"2,keyasint,omitempty"`
+	Created store.Revision `cbor:"7,keyasint,omitempty"`
 	// MissingServer names a backend server without a usable registration.
 	MissingServer id.Target `cbor:"3,keyasint,omitempty"`
 	// Instance is the new registration of an entry instance, and Lease the lease that it was written under.
@@ -31,6 +32,8 @@
 type Record struct {
 	target.Target
 	Revision store.Revision
+	// Created is the revision at which this run of the server registered first, as far as that is known.
+	Created store.Revision
 	// LearnedAt is when the registration was learned; SlowStartLeft counts from then on.
 	LearnedAt time.Duration
 	// Missing is set if there is no usable registration any more. This was learned at MissingSince; at LastPresent the
@@ -56,6 +59,11 @@
 	return left || unchanged
 }
 
+// sameRun reports whether a registration is of the run of the server that the record is of, as far as can be told.
+func (record *Record) sameRun(registered *target.Target) bool {
+	return record.StartTime == registered.StartTime && record.Address == registered.Address
+}
+
 // Interval is the time in which changes happened: between LastConfirmed, when the catalog was last confirmed
 // to be up to date, and Now.
 type Interval struct {
@@ -249,7 +257,7 @@
 	for _, record := range catalog.Servers() {
 		if !record.Missing {
 			server := record.Target
-			entries = append(entries, Entry{Revision: record.Revision, Server: &server})
+			entries = append(entries, Entry{Revision: record.Revision, Server: &server, Created: record.Created})
 		}
 	}
 	for _, name := range sortedKeys(catalog.instances) {
@@ -319,7 +327,14 @@
 		if ok && (known.Revision >= entry.Revision || known.confirm(entry)) {
 			return false
 		}
-		catalog.servers[entry.Server.ID] = &Record{Target: *entry.Server, Revision: entry.Revision, LearnedAt: interval.Now}
+		record := &Record{
+			Target: *entry.Server, Revision: entry.Revision, Created: entry.Created, LearnedAt: interval.Now,
+		}
+		if ok && known.sameRun(entry.Server) {
+			// The registration may have lapsed with the store.
+			record.Created = min(record.Created, known.Created)
+		}
+		catalog.servers[entry.Server.ID] = record
 		catalog.sorted = nil
 	case entry.MissingServer != "":
 		known, ok := catalog.servers[entry.MissingServer]
--- a/core/entry/collision_test.go
+++ b/core/entry/collision_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"azureshift/core/detector"
 	"azureshift/core/id"
 	"azureshift/core/steer"
 	"azureshift/core/target"
@@ -19,8 +20,9 @@
 		"of a service that is not configured": func(odd *target.Target) { odd.Service, odd.StartTime = "unknown", 1 },
 		"without a start time":                func(odd *target.Target) { odd.StartTime = 0 },
 		"of a server that started later":      func(odd *target.Target) { odd.StartTime += 5000 },
+		"of a server that started earlier":    func(odd *target.Target) { odd.StartTime -= 5000 },
 	} {
-		for _, odd := range []id.Target{"a-00000001", "z-00000001"} {
+		for odd, lapses := range map[id.Target]bool{"a-00000001": false, "z-00000001": false, "b-00000001": true} {
 			c.Run(name+": "+string(odd), func(c *qt.C) {
 				cluster := startCluster(c, 500, 2, 2)
 				cluster.checkFor(5 * time.Second)
@@ -31,6 +33,12 @@
 				cluster.servers[odd] = claimed
 				cluster.registerServer(claimed)
 				cluster.runFor(2 * time.Second)
+				if lapses {
+					cluster.lapseRegistration(live)
+					cluster.runFor(time.Second)
+					cluster.registerServer(live)
+					cluster.runFor(time.Second)
+				}
 				for _, node := range cluster.orderedNodes() {
 					server := node.table.Servers[target.CookieOf(live.Number)]
 					c.Assert(server.ID, qt.Equals, live.ID, qt.Commentf("%s", node.self.Name))
@@ -40,3 +48,27 @@
 		}
 	}
 }
+
+// TestNumberOfADeadRegistration guards against an odd registration that keeps the number of a server which registered
+// after it, although nothing answers at its address.
+func TestNumberOfADeadRegistration(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 501, 1, 2)
+	odd := &backend{Target: cluster.servers["i-00000001"].Target, alive: false, changedAt: cluster.now}
+	odd.ID, odd.Number = "a-00000063", 0x63
+	cluster.servers[odd.ID] = odd
+	cluster.registerServer(odd)
+	cluster.runFor(5 * time.Second)
+	live := &backend{Target: odd.Target, alive: true, changedAt: cluster.now}
+	live.ID = "i-00000063"
+	cluster.servers[live.ID] = live
+	cluster.registerServer(live)
+	cluster.runFor(time.Second)
+	for _, node := range cluster.orderedNodes() {
+		probed := Probed{At: cluster.now, Server: odd.ID, Result: detector.ProbeRefused}
+		node.state.probing.inProgress++
+		cluster.reduce(node, probed)
+		server := node.table.Servers[target.CookieOf(live.Number)]
+		c.Assert(server.ID, qt.Equals, live.ID, qt.Commentf("%s", node.self.Name))
+	}
+}
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -143,6 +143,10 @@
 		cluster.store.config = *config
 		cluster.store.configuredAt = cluster.now
 	} else {
+		entry.Created = entry.Revision
+		if known, ok := cluster.store.entries[key]; ok {
+			entry.Created = known.Created
+		}
 		cluster.store.entries[key] = entry
 		if entry.MissingServer != "" || entry.MissingInstance != "" {
 			delete(cluster.store.entries, key)
@@ -246,6 +250,8 @@
 	for key, entry := range copied.entries {
 		entry.Revision, err = store.NewRevision(revision.Era(), entry.Revision.Number())
 		cluster.c.Assert(err, qt.IsNil)
+		entry.Created, err = store.NewRevision(revision.Era(), entry.Created.Number())
+		cluster.c.Assert(err, qt.IsNil)
 		cluster.store.entries[key] = entry
 	}
 	cluster.store.disruptedAt = cluster.now
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -164,13 +164,21 @@
 }
 
 // displaces reports whether a server takes the cookie that another one has. Anyone can register a server with a number
-// that is in use: a service of the configuration goes first, then a known start time, then the earlier one.
+// that is in use, and with any start time: a service of the configuration goes first, then a server that was not found
+// dead, then the first registration of the number. Of two numbers with the same cookie, a known start time goes first,
+// then the earlier one.
 func (state *State) displaces(record *catalog.Record, other *steer.Server) bool {
 	named, otherNamed := state.publishing.services[record.Service], state.publishing.services[other.Service]
 	started, otherStarted := record.StartTime != 0, other.StartTime != 0
+	dead, otherDead := state.condition(record) == steer.Dead, other.Condition == steer.Dead
+	otherRecord, ok := state.catalog.Server(other.ID)
 	switch {
 	case named != otherNamed:
 		return named
+	case ok && record.Number == other.Number && dead != otherDead:
+		return otherDead
+	case ok && record.Number == other.Number && record.Created != otherRecord.Created:
+		return record.Created < otherRecord.Created
 	case started != otherStarted:
 		return started
 	}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -50,7 +50,9 @@
 	Size  int
 	// Revision is the revision of the item's last change; in a condition, zero means that the key does not exist.
 	Revision Revision
-	Lease    Lease
+	// Created is the revision at which the key was created.
+	Created Revision
+	Lease   Lease
 }
 
 // Change is a written item, or a removed one.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -147,7 +147,7 @@
 		daemon.logUnreadable(err, change)
 		return missing
 	}
-	return catalog.Entry{Revision: change.Revision, Server: &server}
+	return catalog.Entry{Revision: change.Revision, Server: &server, Created: change.Created}
 }
 
 func (daemon *Daemon) decodeInstance(change *store.Change) catalog.Entry {
