Reset no flows of a server whose cookie a dead entry has as well

Cause: flows are reset by cookie. If an odd entry with the number of a live server was found dead, the flows of the live server were reset, as its cookie is the same. The same could happen without odd entries between two numbers with one cookie, about 3 % of the servers at 16,000: the younger is not in the table, and its death reset the flows of the older.

Change: flows are reset only for the server that has the cookie in the table.

The soak found it with new troubles: connections to the store that go silent one after the other, or at all instances at once, slow links to the store (standin/proxy: SilenceNext, BytesPerSecond), and a third of the odd entries claims a number in use, also with an earlier start time.

--- a/core/entry/collision_test.go
+++ b/core/entry/collision_test.go
@@ -72,3 +72,32 @@
 		c.Assert(server.ID, qt.Equals, live.ID, qt.Commentf("%s", node.self.Name))
 	}
 }
+
+// _sameCookie is a number whose cookie is that of the number 1.
+const _sameCookie = 1<<32 | 0x9E3779B8
+
+// TestFlowsBesideADeadRegistration guards against an instance that resets the flows of a live server because another
+// entry with its number, or one with the same cookie, was found dead.
+func TestFlowsBesideADeadRegistration(t *testing.T) {
+	c := qt.New(t)
+	for name, number := range map[string]target.Number{"same number": 1, "same cookie": _sameCookie} {
+		c.Run(name, func(c *qt.C) {
+			c.Assert(target.CookieOf(number), qt.Equals, target.CookieOf(1))
+			cluster := startCluster(c, 502, 1, 2)
+			cluster.runFor(5 * time.Second)
+			odd := &backend{Target: cluster.servers["i-00000001"].Target, changedAt: cluster.now}
+			odd.ID, odd.Number, odd.StartTime = "z-1", number, odd.StartTime+1
+			cluster.servers[odd.ID] = odd
+			cluster.registerServer(odd)
+			cluster.runFor(time.Second)
+			for _, node := range cluster.orderedNodes() {
+				node.state.probing.inProgress++
+				probed := Probed{At: cluster.now, Server: odd.ID, Result: detector.ProbeRefused}
+				for _, effect := range node.state.Reduce(probed) {
+					_, resets := effect.(ResetFlows)
+					c.Assert(resets, qt.IsFalse, qt.Commentf("%s", node.self.Name))
+				}
+			}
+		})
+	}
+}
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -98,8 +98,13 @@
 	publishing.published = state.withMeasures(publishing.built)
 	state.emit(Publish{Table: publishing.published})
 	for _, name := range publishing.resetServers {
-		if record, ok := state.catalog.Server(name); ok {
-			state.emit(ResetFlows{Cookie: target.CookieOf(record.Number)})
+		record, ok := state.catalog.Server(name)
+		if !ok {
+			continue
+		}
+		// Flows with this cookie are of the server that has it in the table.
+		if cookie := target.CookieOf(record.Number); publishing.cookies[cookie] == name {
+			state.emit(ResetFlows{Cookie: cookie})
 		}
 	}
 	publishing.resetServers = nil
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,6 +26,10 @@
 	_drainDuration = 3 * time.Second
 	// _restoreOutage is how long the store is down before it comes back from a copy.
 	_restoreOutage = 500 * time.Millisecond
+	// _slowLink is the bandwidth of a slow link in bytes a second: 4 Mbit/s.
+	_slowLink = 500_000
+	// _silenceInterval is the time between two connections that go silent.
+	_silenceInterval = 150 * time.Millisecond
 	// _clockStep is the offset of a server's wall clock after a step: over forty minutes, as clocks on the platform
 	// step.
 	_clockStep = 2500 * time.Second
@@ -51,6 +55,9 @@
 		{"StoreCutOneWay", storeNetworkFault(proxy.Fault{CutFromTarget: true})},
 		{"StoreResets", storeNetworkFault(proxy.Fault{Reset: true})},
 		{"StoreConnectionsSilent", storeNetworkFault(proxy.Fault{SilenceOpen: true})},
+		{"StoreConnectionsSilentEverywhere", silenceStoreEverywhere},
+		{"StoreConnectionsSilentInTurn", silenceStoreInTurn},
+		{"StoreLinkSlow", storeNetworkFault(proxy.Fault{BytesPerSecond: _slowLink})},
 		{"StoreFar", storeNetworkFault(proxy.Fault{Delay: 150 * time.Millisecond})},
 		{"CrashTarget", crashTarget},
 		{"RestartTarget", restartTarget(0)},
@@ -263,6 +270,42 @@
 	}
 }
 
+// silenceStoreEverywhere lets the open connections of all instances to the store go silent for good.
+func silenceStoreEverywhere(soak *soak, _ *rand.Rand) func() {
+	endDisturbance := soak.faultLog.disturbStore()
+	for _, instance := range soak.deployment.Instances() {
+		for instance.Proxy.SilenceNext() {
+			continue
+		}
+	}
+	return endDisturbance
+}
+
+// silenceStoreInTurn lets single connections of random instances to the store go silent for good, one after the other,
+// until the fault ends.
+func silenceStoreInTurn(soak *soak, random *rand.Rand) func() {
+	endDisturbance := soak.faultLog.disturbStore()
+	instances := soak.deployment.Instances()
+	order := random.Perm(len(instances))
+	ended, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for step := 0; ; step++ {
+			instances[order[step%len(order)]].Proxy.SilenceNext()
+			select {
+			case <-ended:
+				return
+			case <-time.After(_silenceInterval):
+			}
+		}
+	}()
+	return func() {
+		close(ended)
+		<-stopped
+		endDisturbance()
+	}
+}
+
 // lockTarget locks a random backend server and returns it. It returns nil if another fault has locked the server or if
 // fewer than two other servers of its service are unlocked.
 func (soak *soak) lockTarget(random *rand.Rand) *testbed.Server {
--- a/soak/writers.go
+++ b/soak/writers.go
@@ -15,6 +15,9 @@
 	_stormInterval = 60 * time.Millisecond
 	// _stormRoutes is the smallest number of routes in each of them. Their history exceeds an answer of the store.
 	_stormRoutes = 1500
+	// _claimShare is the inverse of the share of odd entries that claim the number of a live server, some of them with an
+	// earlier start time.
+	_claimShare = 3
 	// _oddValueSize is the size of the largest odd value in bytes.
 	_oddValueSize = 1 << 20
 )
@@ -52,8 +55,9 @@
 	}
 	key := fmt.Sprintf("servers/i-%08x", random.Uint32())
 	value := values[random.IntN(len(values))]
-	if targets := soak.deployment.Targets(); len(targets) > 0 && random.IntN(len(values)) == 0 {
-		key, value = "servers/odd-"+strings.TrimPrefix(targets[random.IntN(len(targets))].ID(), "i-"), usable
+	if targets := soak.deployment.Targets(); len(targets) > 0 && random.IntN(_claimShare) == 0 {
+		key = "servers/odd-" + strings.TrimPrefix(targets[random.IntN(len(targets))].ID(), "i-")
+		value = strings.Replace(usable, ":1,", fmt.Sprintf(`:1,"born":%d,`, random.IntN(2)), 1)
 	}
 	soak.deployment.Store.Put(key, []byte(value), 0)
 	return func() { soak.deployment.Store.Delete(key) }
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -23,6 +23,8 @@
 	Reset bool
 	// SilenceOpen stops all traffic of the connections that are open now for good, without a reset. New connections work.
 	SilenceOpen bool
+	// BytesPerSecond limits each direction of each connection; zero means no limit.
+	BytesPerSecond int
 }
 
 const (
@@ -88,6 +90,19 @@
 	proxy.resetConnections()
 }
 
+// SilenceNext stops all traffic of one of the connections that are open now for good, and reports whether there is one.
+func (proxy *Proxy) SilenceNext() bool {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	for pair := range proxy.connections {
+		if !pair.silenced {
+			pair.silenced = true
+			return true
+		}
+	}
+	return false
+}
+
 // SetFault replaces the fault.
 func (proxy *Proxy) SetFault(fault Fault) {
 	proxy.mu.Lock()
@@ -166,7 +181,7 @@
 	buffer := make([]byte, _copyBufferSize)
 	for {
 		size, err := from.Read(buffer)
-		if !proxy.waitUntilUnblocked(pair, cut) {
+		if !proxy.waitUntilUnblocked(pair, size, cut) {
 			return
 		}
 		if _, failed := to.Write(buffer[:size]); failed != nil || err != nil {
@@ -175,8 +190,17 @@
 	}
 }
 
-// waitUntilUnblocked waits until no fault blocks the connection, and reports false once the proxy is closed.
-func (proxy *Proxy) waitUntilUnblocked(pair *connectionPair, cut func(fault Fault) bool) bool {
+// transferTime returns how long a number of bytes takes.
+func (fault Fault) transferTime(size int) time.Duration {
+	if fault.BytesPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(size) * time.Second / time.Duration(fault.BytesPerSecond)
+}
+
+// waitUntilUnblocked waits until no fault blocks the connection and a number of bytes has passed, and reports false
+// once the proxy is closed.
+func (proxy *Proxy) waitUntilUnblocked(pair *connectionPair, size int, cut func(fault Fault) bool) bool {
 	for {
 		fault, silenced := proxy.currentFault(pair)
 		proxy.mu.Lock()
@@ -186,7 +210,7 @@
 			return false
 		}
 		if !silenced && !cut(fault) {
-			time.Sleep(fault.Delay)
+			time.Sleep(fault.Delay + fault.transferTime(size))
 			return true
 		}
 		time.Sleep(_faultPollInterval)
