--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -33,7 +33,8 @@
 	_idleTimeout     = time.Minute
 
 	_maxValueBody  = 2 << 20  // a value of 1 MB in base64, with the JSON around it
-	_maxListBody   = 64 << 20 // the instance list, or the bundle parts of the last few versions in base64
+	_maxPartsBody  = 64 << 20 // the bundle parts of the last few versions in base64, read by operators
+	_maxListBody   = 4 << 20  // the instance list: 2,000 entries of a kilobyte twice
 	_maxResultBody = 4 << 10
 )
 
--- a/io/platform/kv.go
+++ b/io/platform/kv.go
@@ -48,7 +48,7 @@
 // Keys returns the keys that begin with prefix.
 func (client *Client) Keys(ctx context.Context, prefix string) ([]string, error) {
 	client.calls.reads.Add(1)
-	call := request{method: http.MethodGet, path: keyPath(prefix), maxBody: _maxListBody, query: url.Values{"keys": {""}}}
+	call := request{method: http.MethodGet, path: keyPath(prefix), maxBody: _maxPartsBody, query: url.Values{"keys": {""}}}
 	received, err := client.send(ctx, call)
 	if err != nil || received.status == http.StatusNotFound {
 		return nil, err
@@ -61,7 +61,7 @@
 func (client *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
 	client.calls.reads.Add(1)
 	query := url.Values{"recurse": {""}}
-	call := request{method: http.MethodGet, path: keyPath(prefix), maxBody: _maxListBody, query: query}
+	call := request{method: http.MethodGet, path: keyPath(prefix), maxBody: _maxPartsBody, query: query}
 	received, err := client.send(ctx, call)
 	if err != nil || received.status == http.StatusNotFound {
 		return nil, err
--- a/io/platform/odd_entries_test.go
+++ b/io/platform/odd_entries_test.go
@@ -45,3 +45,21 @@
 		})
 	}
 }
+
+// TestHugeInstanceList guards against an instance list that takes more memory than an instance has.
+func TestHugeInstanceList(t *testing.T) {
+	c := qt.New(t)
+	part := []byte(strings.Repeat(" ", 64<<10))
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		for range 1 << 10 {
+			if _, err := writer.Write(part); err != nil {
+				return
+			}
+		}
+	}))
+	c.Cleanup(server.Close)
+	client, err := platform.New(platform.Config{Address: server.URL})
+	c.Assert(err, qt.IsNil)
+	_, err = client.Instances(t.Context())
+	c.Assert(err, qt.ErrorMatches, ".*response exceeds 4194304 bytes.*")
+}
