Probe two registrations of one number

What callers saw: nothing. An instance that started after the registration of a live server had lapsed with the store and come back took an odd entry with the server's number for the first one, and sent it the server's flows until traffic showed that it is dead.

Evidence: TestNumberOfALapsedRegistration fails before at the instance that was added.

Change: of two entries with one number one is no server, so both are probed at once: the server at an address names itself, and a port without a server refuses.

--- a/core/entry/collision_test.go
+++ b/core/entry/collision_test.go
@@ -73,6 +73,30 @@
 	}
 }
 
+// TestNumberOfALapsedRegistration guards against an instance that starts after the registration of a server has lapsed
+// and come back, and takes an odd entry with the server's number for the first one.
+func TestNumberOfALapsedRegistration(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 503, 2, 2)
+	cluster.checkFor(5 * time.Second)
+	live := cluster.servers["i-00000001"]
+	odd := &backend{Target: live.Target, changedAt: cluster.now}
+	odd.ID = "a-00000001"
+	cluster.servers[odd.ID] = odd
+	cluster.registerServer(odd)
+	cluster.runFor(time.Second)
+	cluster.lapseRegistration(live)
+	cluster.runFor(time.Second)
+	cluster.registerServer(live)
+	cluster.runFor(time.Second)
+	added := cluster.addNode("a", 3, 10)
+	cluster.runFor(2 * time.Second)
+	for _, node := range append(cluster.orderedNodes(), added) {
+		server := node.table.Servers[target.CookieOf(live.Number)]
+		c.Assert(server.ID, qt.Equals, live.ID, qt.Commentf("%s", node.self.Name))
+	}
+}
+
 // _sameCookie is a number whose cookie is that of the number 1.
 const _sameCookie = 1<<32 | 0x9E3779B8
 
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -144,10 +144,16 @@
 	return table
 }
 
-// addServer adds a server to the table. Of two servers with the same cookie it adds only one.
+// addServer adds a server to the table. Of two servers with the same cookie it adds only one. Of two with the same
+// number one is no server, which a probe shows: the server at an address names itself.
 func (state *State) addServer(table *steer.Table, record *catalog.Record) {
 	cookie := target.CookieOf(record.Number)
 	if other, ok := table.Servers[cookie]; ok {
+		judged := state.condition(record) == steer.Dead || other.Condition == steer.Dead
+		if record.Number == other.Number && !judged {
+			state.requestProbe(record.ID)
+			state.requestProbe(other.ID)
+		}
 		if !state.displaces(record, other) {
 			state.emit(Note{Kind: NoteCollision, Server: record.ID, Value: string(other.ID)})
 			return
