Compare a finding only with others on the same server

While a whole failure domain is cut off, its instances' findings on each server pass through the relay, which compared each with all findings of the last second.

Change: findings are kept by server and condition, expire once a tick, and whether one is urgent is known without a search.

--- a/core/entry/evidence.go
+++ b/core/entry/evidence.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"azureshift/core/fleet"
@@ -11,9 +12,23 @@
 // evidenceQueue holds findings to be sent to other instances.
 type evidenceQueue struct {
 	findings []fleet.Finding
-	// forwarded holds the times at which findings were forwarded. It bounds the traffic of a relay while a whole failure
+	// urgent says that one of them is of a dead server, whose clients are waiting.
+	urgent bool
+	// forwarded holds the findings that were forwarded lately. It bounds the traffic of a relay while a whole failure
 	// domain is partitioned.
-	forwarded map[fleet.Finding]time.Duration
+	forwarded map[judgement][]forwardedFinding
+}
+
+// judgement is what instances may find of a server.
+type judgement struct {
+	server    id.Target
+	condition steer.Condition
+}
+
+// forwardedFinding is a finding of an instance and when it was forwarded.
+type forwardedFinding struct {
+	fleet.Finding
+	at time.Duration
 }
 
 const (
@@ -56,54 +71,53 @@
 			state.forwardFinding(finding)
 		}
 	}
-	state.sendEvidenceIfUrgent()
+	if state.evidenceQueue.urgent {
+		state.sendEvidence()
+	}
 }
 
 // forwardFinding queues a finding of another instance for the others, unless enough of them were forwarded lately.
 func (state *State) forwardFinding(finding fleet.Finding) {
 	evidenceQueue := &state.evidenceQueue
 	if evidenceQueue.forwarded == nil {
-		evidenceQueue.forwarded = make(map[fleet.Finding]time.Duration)
+		evidenceQueue.forwarded = make(map[judgement][]forwardedFinding)
 	}
-	if _, known := evidenceQueue.forwarded[finding]; known {
+	judged := judgement{server: finding.Server, condition: finding.Condition}
+	lately := withoutExpired(evidenceQueue.forwarded[judged], state.now)
+	known := slices.ContainsFunc(lately, func(other forwardedFinding) bool { return other.Finding == finding })
+	if known || len(lately) >= _maxObservers {
 		return
 	}
-	observers := 0
-	for forwarded := range evidenceQueue.forwarded {
-		if forwarded.Server == finding.Server && forwarded.Condition == finding.Condition {
-			observers++
-		}
-	}
-	if observers < _maxObservers {
-		evidenceQueue.forwarded[finding] = state.now
-		evidenceQueue.findings = append(evidenceQueue.findings, finding)
-	}
+	evidenceQueue.forwarded[judged] = append(lately, forwardedFinding{Finding: finding, at: state.now})
+	evidenceQueue.findings = append(evidenceQueue.findings, finding)
+	evidenceQueue.urgent = evidenceQueue.urgent || finding.Condition == steer.Dead
 }
 
-// sendEvidenceIfUrgent sends the queue at once if a server is dead, because its clients are waiting.
-func (state *State) sendEvidenceIfUrgent() {
-	for _, finding := range state.evidenceQueue.findings {
-		if finding.Condition == steer.Dead {
-			state.sendEvidence()
-			return
+// forget removes findings that were forwarded too long ago to count.
+func (evidenceQueue *evidenceQueue) forget(now time.Duration) {
+	for judged, lately := range evidenceQueue.forwarded {
+		lately = withoutExpired(lately, now)
+		if len(lately) == 0 {
+			delete(evidenceQueue.forwarded, judged)
+			continue
 		}
+		evidenceQueue.forwarded[judged] = lately
 	}
 }
 
+func withoutExpired(findings []forwardedFinding, now time.Duration) []forwardedFinding {
+	return slices.DeleteFunc(findings, func(finding forwardedFinding) bool { return now-finding.at >= _observerWindow })
+}
+
 // sendEvidence sends the queue to the instances above and below this one in its failure domain, which forward it. A
 // relay also sends findings of dead servers to the relays of other failure domains.
 func (state *State) sendEvidence() {
 	evidenceQueue := &state.evidenceQueue
-	for finding, at := range evidenceQueue.forwarded {
-		if state.now-at >= _observerWindow {
-			delete(evidenceQueue.forwarded, finding)
-		}
-	}
 	findings := evidenceQueue.findings
 	if len(findings) == 0 {
 		return
 	}
-	evidenceQueue.findings = nil
+	evidenceQueue.findings, evidenceQueue.urgent = nil, false
 	if upstream, ok := state.fleet.Upstream(state.now); ok && !state.relaying.active {
 		state.sendFindings(upstream.Address, findings)
 	}
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -163,6 +163,7 @@
 	state.registerIfDue()
 	state.updateRelayRole()
 	state.probeIfDue()
+	state.evidenceQueue.forget(state.now)
 	state.sendEvidence()
 	if state.now-state.forgotAt >= _forgetInterval {
 		state.forgotAt = state.now
