--- a/core/entry/evidence_cost_test.go
+++ b/core/entry/evidence_cost_test.go
@@ -32,7 +32,7 @@
 	now := time.Second
 	state.Start(now)
 	listed := Listed{At: now, RequestedAt: now, Revision: 1, Config: &route.Config{Version: 1}}
-	var findings []fleet.Finding
+	findings := make([]fleet.Finding, 0, servers*observers)
 	for number := range servers {
 		name := id.Target(fmt.Sprintf("i-%08x", number+1))
 		listed.Entries = append(listed.Entries, catalog.Entry{
