Look through the flows once for all dead servers

After a failure domain has lost its servers, the traffic thread looked through all flows for each of them, in which time packets wait.

Change: the control state names all servers of a table whose flows are to be reset, and the flows are looked through once. A server that was found alive again before the table was built gets no resets.

--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -70,8 +70,8 @@
 // Publish hands a new table to the traffic thread.
 type Publish struct{ Table *steer.Table }
 
-// ResetFlows resets flows of a backend server that is dead or unreachable.
-type ResetFlows struct{ Cookie packet.Cookie }
+// ResetFlows resets flows of backend servers that are dead or unreachable.
+type ResetFlows struct{ Cookies []packet.Cookie }
 
 // SetReady tells the platform's routers whether to send packets to this instance.
 type SetReady struct{ Ready bool }
--- a/core/entry/rebuild_test.go
+++ b/core/entry/rebuild_test.go
@@ -42,7 +42,9 @@
 	reduce := func(event Event) {
 		for _, effect := range state.Reduce(event) {
 			if flows, ok := effect.(ResetFlows); ok {
-				reset[flows.Cookie] = true
+				for _, cookie := range flows.Cookies {
+					reset[cookie] = true
+				}
 			}
 		}
 		if state.publishing.built != built {
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -125,6 +125,7 @@
 // resetFlows resets the flows of the servers that were found dead or unreachable before the table was built.
 func (state *State) resetFlows() {
 	publishing := &state.publishing
+	var reset ResetFlows
 	for _, name := range publishing.resetServers {
 		record, ok := state.catalog.Server(name)
 		if !ok {
@@ -132,10 +133,13 @@
 		}
 		// Flows with this cookie are of the server that has it in the table.
 		if cookie := target.CookieOf(record.Number); publishing.cookies[cookie] == name {
-			state.emit(ResetFlows{Cookie: cookie})
+			reset.Cookies = append(reset.Cookies, cookie)
 		}
 	}
 	publishing.resetServers = nil
+	if len(reset.Cookies) > 0 {
+		state.emit(reset)
+	}
 }
 
 // withMeasures returns a copy of a table with the current measures.
--- a/core/steer/flood_test.go
+++ b/core/steer/flood_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"azureshift/core/packet"
+	"azureshift/standin/budget"
 )
 
 // flood sends a packet of each of many flows. A cookie of zero makes it the opening one.
@@ -69,3 +70,33 @@
 		c.Assert(steering.flows[request.Flow].pending, qt.IsTrue)
 	})
 }
+
+// TestFlowsOfManyDeadServers guards against a traffic thread that stands still because it looks through all flows for
+// each server that a failure domain has lost.
+func TestFlowsOfManyDeadServers(t *testing.T) {
+	c := qt.New(t)
+	const (
+		servers = 16_000 / 3
+		flows   = 15_000
+	)
+	measured := make([]*measuredServer, 0, servers)
+	dead := make(map[packet.Cookie]Condition, servers)
+	for number := range servers {
+		measured = append(measured, server(number+1, "a"))
+		dead[packet.Cookie(number+1)] = Dead
+	}
+	steering := newSteering(tableOf(measured...))
+	for number := range flows {
+		steering.Decide(time.Second, packet.Header{
+			Flow: packet.Flow{
+				Client:  packet.Endpoint{Address: [4]byte{10, 0, byte(number >> 8), byte(number)}, Port: 40001},
+				Service: _orders,
+			},
+			Flags: packet.ACK, Cookie: packet.Cookie(number%servers + 1), Length: 100,
+		})
+	}
+	var reset []packet.Header
+	budget.AssertCheap(c, func() { reset = steering.ResetFlows(time.Second, dead) })
+	c.Assert(reset, qt.HasLen, flows)
+	c.Assert(steering.FlowCount(), qt.Equals, 0)
+}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -187,20 +187,21 @@
 	return decision
 }
 
-// ResetFlows removes flows of a server that was found dead or unreachable, and returns those that are to be reset. For
+// ResetFlows removes flows of servers that were found dead or unreachable, and returns those that are to be reset. For
 // a dead server these are all flows, including idle ones: a client that learns of it from its next request loses that
 // request if it is not idempotent. For an unreachable server, which may still be working, these are only the flows
 // whose pending request may be retried.
-func (steering *Steering) ResetFlows(now time.Duration, cookie packet.Cookie, condition Condition) []packet.Header {
+func (steering *Steering) ResetFlows(now time.Duration, servers map[packet.Cookie]Condition) []packet.Header {
 	var resets []packet.Header
 	for key, tracked := range steering.flows {
-		if tracked.cookie != cookie || tracked.halfOpen {
+		condition, ok := servers[tracked.cookie]
+		if !ok || tracked.halfOpen {
 			continue
 		}
 		if condition != Dead && (!tracked.pending || !steering.retryable(key)) {
 			continue
 		}
-		resets = append(resets, packet.Header{Flow: key, Cookie: cookie, Acknowledged: tracked.acked})
+		resets = append(resets, packet.Header{Flow: key, Cookie: tracked.cookie, Acknowledged: tracked.acked})
 		steering.removeFlow(now, key)
 	}
 	return resets
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -322,12 +322,14 @@
 		return found
 	}
 	c.Run("resets every flow of a dead server, including idle ones", func(c *qt.C) {
-		c.Assert(ports(newSteeringWithFlows().ResetFlows(time.Second, 1, Dead)), qt.DeepEquals, []uint16{1, 2, 3})
+		headers := newSteeringWithFlows().ResetFlows(time.Second, map[packet.Cookie]Condition{1: Dead})
+		c.Assert(ports(headers), qt.DeepEquals, []uint16{1, 2, 3})
 	})
 	c.Run("resets only flows of an unreachable server with a retryable request", func(c *qt.C) {
-		c.Assert(ports(newSteeringWithFlows().ResetFlows(time.Second, 1, Unreachable)), qt.DeepEquals, []uint16{1})
+		headers := newSteeringWithFlows().ResetFlows(time.Second, map[packet.Cookie]Condition{1: Unreachable})
+		c.Assert(ports(headers), qt.DeepEquals, []uint16{1})
 	})
 	c.Run("keeps flows of other servers", func(c *qt.C) {
-		c.Assert(newSteeringWithFlows().ResetFlows(time.Second, 2, Dead), qt.HasLen, 0)
+		c.Assert(newSteeringWithFlows().ResetFlows(time.Second, map[packet.Cookie]Condition{2: Dead}), qt.HasLen, 0)
 	})
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -110,7 +110,7 @@
 		case core.Publish:
 			daemon.publish(effect)
 		case core.ResetFlows:
-			daemon.resetFlows(effect.Cookie)
+			daemon.resetFlows(effect.Cookies)
 		case core.Send:
 			daemon.sendMessage(effect)
 		case core.SetReady:
@@ -133,20 +133,25 @@
 	daemon.steering.SetTable(effect.Table)
 }
 
-// resetFlows resets flows of a server that is dead or unreachable, so that their clients can retry at once.
-func (daemon *Daemon) resetFlows(cookie packet.Cookie) {
+// resetFlows resets flows of servers that are dead or unreachable, so that their clients can retry at once.
+func (daemon *Daemon) resetFlows(cookies []packet.Cookie) {
 	now := daemon.clock.now()
+	conditions := make(map[packet.Cookie]steer.Condition, len(cookies))
 	daemon.mu.Lock()
-	server, ok := daemon.steering.Table().Servers[cookie]
-	if !ok {
-		daemon.mu.Unlock()
-		return
+	servers := daemon.steering.Table().Servers
+	for _, cookie := range cookies {
+		server, ok := servers[cookie]
+		// A server may have been found alive since.
+		if ok && (server.Condition == steer.Dead || server.Condition == steer.Unreachable) {
+			conditions[cookie] = server.Condition
+		}
 	}
-	headers := daemon.steering.ResetFlows(now, cookie, server.Condition)
+	headers := daemon.steering.ResetFlows(now, conditions)
 	daemon.mu.Unlock()
 	for _, header := range headers {
 		daemon.sendReset(header)
 		daemon.metrics.flowsAbandoned.Inc(1)
+		server := servers[header.Cookie]
 		daemon.log.Log(event.FlowReset, event.Fields{
 			"Flow": header.Flow.String(), "Reason": "ServerJudged", "Server": server.ID,
 			"Condition": server.Condition.String(),
