--- a/core/entry/belief_world_test.go
+++ b/core/entry/belief_world_test.go
@@ -35,7 +35,7 @@
 	caller *State
 	effect Effect
 	// served is the answer that is on its way, or nil.
-	served Event
+	served func(at time.Duration) Event
 }
 
 type beliefMessage struct {
@@ -171,24 +171,25 @@
 	return nil
 }
 
-// serve returns the answer to a call as of now, or its failure.
-func (world *beliefWorld) serve(call beliefCall, succeeds bool) Event {
+// serve returns the answer to a call as of now, or its failure, as the event of its arrival.
+func (world *beliefWorld) serve(call beliefCall, succeeds bool) func(at time.Duration) Event {
 	history, revision := world.current()
+	asked := world.now
 	switch effect := call.effect.(type) {
 	case List:
 		if !succeeds {
-			return ReadFailed{}
+			return func(at time.Duration) Event { return ReadFailed{At: at} }
 		}
 		entries, config := world.content()
-		return Listed{RequestedAt: world.now, Entries: entries, Config: config, Revision: revision}
-	case Follow:
-		if effect.After.Era() != revision.Era() {
-			return ReadFailed{HistoryLost: true}
+		return func(at time.Duration) Event {
+			return Listed{At: at, RequestedAt: asked, Entries: entries, Config: config, Revision: revision}
 		}
-		if !succeeds {
-			return ReadFailed{Unreadable: len(history)%2 == 0}
+	case Follow:
+		lost, unreadable := effect.After.Era() != revision.Era(), len(history)%2 == 0
+		if lost || !succeeds {
+			return func(at time.Duration) Event { return ReadFailed{At: at, HistoryLost: lost, Unreadable: unreadable} }
 		}
-		followed := Followed{RequestedAt: world.now, After: effect.After, Revision: revision}
+		followed := Followed{RequestedAt: asked, After: effect.After, Revision: revision}
 		for _, change := range history[effect.After.Number():] {
 			followed.Changes++
 			if change.config != nil {
@@ -197,19 +198,22 @@
 				followed.Entries = append(followed.Entries, change.entry)
 			}
 		}
-		return followed
+		return func(at time.Duration) Event {
+			followed.At = at
+			return followed
+		}
 	case ReadConfig:
-		if !succeeds {
-			return ConfigRead{}
+		var config *route.Config
+		if succeeds {
+			_, config = world.content()
 		}
-		_, config := world.content()
-		return ConfigRead{Config: config}
+		return func(at time.Duration) Event { return ConfigRead{At: at, Config: config} }
 	case Fetch:
 		view := world.at(effect.From).View(world.now, effect.Known)
 		if !succeeds || view.Revision == 0 {
-			return FetchFailed{From: effect.From}
+			return func(at time.Duration) Event { return FetchFailed{At: at, From: effect.From} }
 		}
-		return Fetched{From: effect.From, View: view}
+		return func(at time.Duration) Event { return Fetched{At: at, From: effect.From, View: view} }
 	}
 	return nil
 }
@@ -219,26 +223,7 @@
 	if call.served == nil {
 		call.served = world.serve(call, succeeds)
 	}
-	switch event := call.served.(type) {
-	case Listed:
-		event.At = world.now
-		world.reduce(call.caller, event)
-	case Followed:
-		event.At = world.now
-		world.reduce(call.caller, event)
-	case ReadFailed:
-		event.At = world.now
-		world.reduce(call.caller, event)
-	case ConfigRead:
-		event.At = world.now
-		world.reduce(call.caller, event)
-	case Fetched:
-		event.At = world.now
-		world.reduce(call.caller, event)
-	case FetchFailed:
-		event.At = world.now
-		world.reduce(call.caller, event)
-	}
+	world.reduce(call.caller, call.served(world.now))
 }
 
 // content returns what the store holds.
--- a/core/entry/probe_test.go
+++ b/core/entry/probe_test.go
@@ -19,23 +19,12 @@
 func TestProbesAfterAMassLapse(t *testing.T) {
 	c := qt.New(t)
 	const servers = 16_000
-	state := New(Config{
-		Self:   beliefSelf(0, 1),
-		Limits: Limits{Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Hour, MinLease: time.Second},
-		Random: func() float64 { return 0 },
-	})
-	now := time.Second
-	state.Start(now)
-	listed := Listed{At: now, RequestedAt: now, Revision: 1, Config: &route.Config{Version: 1}}
+	state, registered := stateWithServers(servers)
+	now := _listedAt
 	lapsed := Followed{At: now, RequestedAt: now, After: 1, Revision: 2, Changes: servers}
-	for number := range servers {
-		name := id.Target(fmt.Sprintf("i-%08x", number+1))
-		listed.Entries = append(listed.Entries, catalog.Entry{
-			Revision: 1, Server: &target.Target{ID: name, Number: target.Number(number + 1), State: target.StateReady},
-		})
-		lapsed.Entries = append(lapsed.Entries, catalog.Entry{Revision: 2, MissingServer: name})
+	for _, entry := range registered {
+		lapsed.Entries = append(lapsed.Entries, catalog.Entry{Revision: 2, MissingServer: entry.Server.ID})
 	}
-	state.Reduce(listed)
 	inFlight := probesIn(state.Reduce(lapsed))
 	probed := make(map[id.Target]bool)
 	for len(inFlight) > 0 {
@@ -79,3 +68,28 @@
 	}
 	return probes
 }
+
+// stateWithServers returns an instance that has listed a store with a number of servers, numbered from 1, at _listedAt.
+func stateWithServers(servers int) (*State, []catalog.Entry) {
+	state := New(Config{
+		Self:   beliefSelf(0, 1),
+		Limits: Limits{Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Hour, MinLease: time.Second},
+		Random: func() float64 { return 0 },
+	})
+	state.Start(_listedAt)
+	listed := Listed{At: _listedAt, RequestedAt: _listedAt, Revision: 1, Config: &route.Config{Version: 1}}
+	for number := range servers {
+		listed.Entries = append(listed.Entries, catalog.Entry{Revision: 1, Server: &target.Target{
+			ID: numberedServer(number + 1), Number: target.Number(number + 1), State: target.StateReady,
+		}})
+	}
+	state.Reduce(listed)
+	return state, listed.Entries
+}
+
+// _listedAt is when stateWithServers lists the store.
+const _listedAt = time.Second
+
+func numberedServer(number int) id.Target {
+	return id.Target(fmt.Sprintf("i-%08x", number))
+}
--- a/core/entry/rebuild_test.go
+++ b/core/entry/rebuild_test.go
@@ -1,18 +1,13 @@
 package entry
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
-	"azureshift/core/catalog"
 	"azureshift/core/detector"
-	"azureshift/core/id"
 	"azureshift/core/packet"
-	"azureshift/core/route"
-	"azureshift/core/target"
 )
 
 // TestPowerLossOfManyServers guards against an instance that builds its table for each of the servers that a failure
@@ -23,20 +18,8 @@
 		servers = 16_000
 		lost    = servers / 3
 	)
-	state := New(Config{
-		Self:   beliefSelf(0, 1),
-		Limits: Limits{Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Hour, MinLease: time.Second},
-		Random: func() float64 { return 0 },
-	})
-	now := time.Second
-	state.Start(now)
-	listed := Listed{At: now, RequestedAt: now, Revision: 1, Config: &route.Config{Version: 1}}
-	for number := range servers {
-		listed.Entries = append(listed.Entries, catalog.Entry{Revision: 1, Server: &target.Target{
-			ID: id.Target(fmt.Sprintf("i-%08x", number+1)), Number: target.Number(number + 1), State: target.StateReady,
-		}})
-	}
-	state.Reduce(listed)
+	state, _ := stateWithServers(servers)
+	now := _listedAt
 	built, rebuilt := state.publishing.built, 0
 	reset := make(map[packet.Cookie]bool)
 	reduce := func(event Event) {
@@ -55,8 +38,7 @@
 	for number := range lost {
 		now += time.Second / lost
 		state.probing.inProgress++
-		server := id.Target(fmt.Sprintf("i-%08x", number+1))
-		reduce(Probed{At: now, Server: server, Result: detector.ProbeRefused})
+		reduce(Probed{At: now, Server: numberedServer(number + 1), Result: detector.ProbeRefused})
 	}
 	for range 10 {
 		now += _tickInterval
