Take the last list of parts of a head that names two

Found by reading the diff. The list of parts with a limit appended to what it held, so that a head which names its parts twice had both lists joined. Before that the last one counted, as for every other field. Such a head fails its signature either way.

TestPartsNamedTwice fails on the commit before.

--- a/bundle/head.go
+++ b/bundle/head.go
@@ -79,6 +79,7 @@
 	if opening, err := stream.Token(); err != nil || opening != json.Delim('[') {
 		return errNoPartList
 	}
+	*refs = nil
 	for stream.More() {
 		if len(*refs) >= MaxServices {
 			return errTooManyParts
