Answer probes of tests in one place

Found by reading the diff. Three tests raised the number of probes in progress by hand before they answered one, and a test of restored platforms copied a map by a loop.

--- a/core/entry/collision_test.go
+++ b/core/entry/collision_test.go
@@ -65,9 +65,7 @@
 	cluster.registerServer(live)
 	cluster.runFor(time.Second)
 	for _, node := range cluster.orderedNodes() {
-		probed := Probed{At: cluster.now, Server: odd.ID, Result: detector.ProbeRefused}
-		node.state.probing.inProgress++
-		cluster.reduce(node, probed)
+		cluster.execute(node, node.state.reduceProbe(cluster.now, odd.ID, detector.ProbeRefused))
 		server := node.table.Servers[target.CookieOf(live.Number)]
 		c.Assert(server.ID, qt.Equals, live.ID, qt.Commentf("%s", node.self.Name))
 	}
@@ -115,9 +113,7 @@
 			cluster.registerServer(odd)
 			cluster.runFor(time.Second)
 			for _, node := range cluster.orderedNodes() {
-				node.state.probing.inProgress++
-				probed := Probed{At: cluster.now, Server: odd.ID, Result: detector.ProbeRefused}
-				for _, effect := range node.state.Reduce(probed) {
+				for _, effect := range node.state.reduceProbe(cluster.now, odd.ID, detector.ProbeRefused) {
 					_, resets := effect.(ResetFlows)
 					c.Assert(resets, qt.IsFalse, qt.Commentf("%s", node.self.Name))
 				}
--- a/core/entry/probe_test.go
+++ b/core/entry/probe_test.go
@@ -59,6 +59,12 @@
 	c.Assert(order, qt.HasLen, 2*_maxProbes)
 }
 
+// reduceProbe returns the effects of a probe that ended with a result, and that the instance had not started itself.
+func (state *State) reduceProbe(now time.Duration, server id.Target, result detector.ProbeResult) []Effect {
+	state.probing.inProgress++
+	return state.Reduce(Probed{At: now, Server: server, Result: result})
+}
+
 func probesIn(effects []Effect) []Probe {
 	var probes []Probe
 	for _, effect := range effects {
--- a/core/entry/rebuild_test.go
+++ b/core/entry/rebuild_test.go
@@ -22,8 +22,8 @@
 	now := _listedAt
 	built, rebuilt := state.publishing.built, 0
 	reset := make(map[packet.Cookie]bool)
-	reduce := func(event Event) {
-		for _, effect := range state.Reduce(event) {
+	count := func(effects []Effect) {
+		for _, effect := range effects {
 			if flows, ok := effect.(ResetFlows); ok {
 				for _, cookie := range flows.Cookies {
 					reset[cookie] = true
@@ -37,12 +37,11 @@
 	}
 	for number := range lost {
 		now += time.Second / lost
-		state.probing.inProgress++
-		reduce(Probed{At: now, Server: numberedServer(number + 1), Result: detector.ProbeRefused})
+		count(state.reduceProbe(now, numberedServer(number+1), detector.ProbeRefused))
 	}
 	for range 10 {
 		now += _tickInterval
-		reduce(Tick{At: now})
+		count(state.Reduce(Tick{At: now}))
 	}
 	c.Assert(reset, qt.HasLen, lost)
 	c.Assert(rebuilt <= 4, qt.IsTrue, qt.Commentf("%d tables", rebuilt))
--- a/core/rollout/restored_test.go
+++ b/core/rollout/restored_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"azureshift/bundle"
-	"azureshift/core/id"
 	"azureshift/core/rollout"
 )
 
@@ -32,10 +32,7 @@
 			network.roll(sampleBundle(1, 6, 2))
 			network.run(_convergenceTime)
 			copied := network.roll(sampleBundle(2, 5, 2))
-			parts := make(map[bundle.Hash][]byte)
-			for hash, content := range network.platformParts {
-				parts[hash] = content
-			}
+			parts := maps.Clone(network.platformParts)
 			network.run(_convergenceTime)
 			network.roll(sampleBundle(3, 7, 2))
 			network.run(_convergenceTime)
@@ -45,7 +42,7 @@
 			}
 			network.run(_convergenceTime)
 			c.Assert(network.countBehind(3), qt.Equals, 0)
-			network.roll(sampleBundle(id.Version(4), 6, 2))
+			network.roll(sampleBundle(4, 6, 2))
 			network.run(_convergenceTime)
 			c.Assert(network.countBehind(4), qt.Equals, 0)
 			c.Assert(network.violations, qt.HasLen, 0)
