Watch all resets in the test of a dead registration

Found by taking the guarded check out: only the case "same cookie" of TestFlowsBesideADeadRegistration failed. Since two registrations of one number are probed by themselves, the odd one was dead before the case "same number" looked at effects.

The simulated instances record the flows that they reset, and the test asserts that there were none in the whole run, and that the odd entry is dead in the end. Both cases fail without the check in core/entry/table.go.

--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -14,6 +14,7 @@
 	"azureshift/core/catalog"
 	"azureshift/core/detector"
 	"azureshift/core/id"
+	"azureshift/core/packet"
 	"azureshift/core/route"
 	"azureshift/core/steer"
 	"azureshift/core/target"
@@ -74,8 +75,9 @@
 	// reduceTime is the time spent in Reduce, and observations what the traffic thread reports.
 	reduceTime   time.Duration
 	observations []steer.Observation
-	// notes are what the instance logged.
-	notes []Note
+	// notes are what the instance logged, and resets the servers whose flows it reset.
+	notes  []Note
+	resets []packet.Cookie
 }
 
 func newCluster(c *qt.C, seed uint64) *cluster {
@@ -192,7 +194,9 @@
 			node.ready = effect.Ready
 		case Note:
 			node.notes = append(node.notes, effect)
-		case Unregister, ResetFlows:
+		case ResetFlows:
+			node.resets = append(node.resets, effect.Cookies...)
+		case Unregister:
 		}
 	}
 }
--- a/core/entry/collision_test.go
+++ b/core/entry/collision_test.go
@@ -113,10 +113,9 @@
 			cluster.registerServer(odd)
 			cluster.runFor(time.Second)
 			for _, node := range cluster.orderedNodes() {
-				for _, effect := range node.state.reduceProbe(cluster.now, odd.ID, detector.ProbeRefused) {
-					_, resets := effect.(ResetFlows)
-					c.Assert(resets, qt.IsFalse, qt.Commentf("%s", node.self.Name))
-				}
+				cluster.execute(node, node.state.reduceProbe(cluster.now, odd.ID, detector.ProbeRefused))
+				c.Assert(node.state.detector.Condition(odd.ID), qt.Equals, steer.Dead)
+				c.Assert(node.resets, qt.HasLen, 0, qt.Commentf("%s", node.self.Name))
 			}
 		})
 	}
