Serve what is understood of a configuration; know uploads

Routes, services and limits are decoded one by one. A part that is not understood keeps its former version or stays out; a request of an unknown kind may run once at most.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -128,11 +128,13 @@
 	return catalog.routes
 }
 
-// ApplyConfig puts a configuration in force unless it is older than the one that is, and reports whether it did.
+// ApplyConfig puts a configuration in force unless it is older than the one that is, and reports whether it did. Parts
+// of it that could not be understood stay as they are.
 func (catalog *Catalog) ApplyConfig(config route.Config) bool {
 	if config.Version <= catalog.routes.Version {
 		return false
 	}
+	config = config.KeepUnreadable(catalog.routes)
 	if catalog.routes.Version > 0 {
 		catalog.keepDelta(route.Diff(catalog.routes, config))
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -21,8 +21,20 @@
 	NonIdempotent
 	// Download requests may be retried and have large answers.
 	Download
+	// Upload requests may run once at most; most of their bytes come from the client.
+	Upload
 )
 
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	return []Kind{Idempotent, NonIdempotent, Download, Upload}
+}
+
+// Repeatable reports whether a request of this kind may run more than once.
+func (kind Kind) Repeatable() bool {
+	return kind == Idempotent || kind == Download
+}
+
 // String returns the kind as it is written in metrics.
 func (kind Kind) String() string {
 	switch kind {
@@ -32,6 +44,8 @@
 		return "NonIdempotent"
 	case Download:
 		return "Download"
+	case Upload:
+		return "Upload"
 	}
 	return "Unknown"
 }
@@ -64,8 +78,14 @@
 	HealthPath string `cbor:"2,keyasint"`
 	// MaxConnections is the maximum number of flows per backend server.
 	MaxConnections int `cbor:"3,keyasint"`
+	// SlowStart is how long a backend server is slow after its start, and SlowStartRate the new flows that it bears then.
+	SlowStart     time.Duration `cbor:"4,keyasint,omitempty"`
+	SlowStartRate PerSecond     `cbor:"5,keyasint,omitempty"`
 }
 
+// PerSecond is a rate in events per second.
+type PerSecond float64
+
 // Config is one version of the configuration.
 type Config struct {
 	Version  Version   `cbor:"1,keyasint"`
@@ -73,4 +93,6 @@
 	Services []Service `cbor:"3,keyasint"`
 	// IdleTimeout is how long a flow may be idle before it may be removed.
 	IdleTimeout time.Duration `cbor:"4,keyasint"`
+	// Unreadable names what is left out because it could not be understood. It is empty once the configuration is in force.
+	Unreadable Unreadable `cbor:"-"`
 }
--- a/core/steer/demand.go
+++ b/core/steer/demand.go
@@ -10,7 +10,7 @@
 	// _priorityLevels is the number of distinct priorities; lower ones are counted with the last. _kinds is the number of
 	// kinds of requests, including the unknown one.
 	_priorityLevels = 8
-	_kinds          = int(route.Download) + 1
+	_kinds          = int(route.Upload) + 1
 	// _demandTimeConstant is the time constant of the exponential decay of the counts, which spans a few reports, and
 	// _habitTimeConstant that of the counts that tell whether clients reuse flows.
 	_demandTimeConstant = 2 * time.Second
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -5,7 +5,6 @@
 
 	"azureshift/core/id"
 	"azureshift/core/packet"
-	"azureshift/core/route"
 )
 
 const (
@@ -175,7 +174,7 @@
 // retryable reports whether the client may retry a request of the flow that got no answer.
 func (steering *Steering) retryable(key packet.Flow) bool {
 	configured, ok := steering.table.Routes[key.Service]
-	return ok && configured.Kind != route.NonIdempotent
+	return ok && configured.Kind.Repeatable()
 }
 
 // refuse removes the flow and returns the decision. A packet with RST is dropped, as it is never answered by a reset.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -123,11 +123,18 @@
 	if config == nil {
 		return entries, nil
 	}
-	decoded, err := platform.DecodeConfig(config.Value)
+	decoded, faults, err := platform.DecodeConfig(config.Value)
 	if err != nil {
+		daemon.metrics.configFaults.Inc(1)
 		daemon.log.LogError(event.ConfigUnreadable, err, event.Fields{"Revision": config.Revision.Number()})
 		return entries, nil
 	}
+	daemon.metrics.configFaults.Inc(int64(len(faults)))
+	for _, fault := range faults {
+		daemon.log.LogError(event.ConfigPartUnreadable, fault, event.Fields{
+			"Version": decoded.Version, "Revision": config.Revision.Number(),
+		})
+	}
 	return entries, &decoded
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -47,9 +47,11 @@
 	probes           tally.Counter
 	// registrationsRefused counts reads of registrations that name no server or instance to use.
 	registrationsRefused tally.Counter
-	peerBytes            tally.Counter
-	eventsLost           tally.Counter
-	linesDropped         tally.Counter
+	// configFaults counts parts of configurations that were not understood.
+	configFaults tally.Counter
+	peerBytes    tally.Counter
+	eventsLost   tally.Counter
+	linesDropped tally.Counter
 }
 
 func newMetrics(instance id.Instance, domain id.Domain) *metrics {
@@ -67,7 +69,7 @@
 	created.handlingTime = scope.Histogram("packet_seconds", handlingBuckets)
 	answerBuckets := tally.MustMakeExponentialDurationBuckets(_answerBucketStart, _answerBucketFactor, _answerBucketCount)
 	created.answerLatency = make(map[route.Kind]tally.Histogram)
-	for _, kind := range []route.Kind{route.Idempotent, route.NonIdempotent, route.Download} {
+	for _, kind := range route.Kinds() {
 		tagged := scope.Tagged(map[string]string{"Kind": kind.String()})
 		created.answerLatency[kind] = tagged.Histogram("answer_seconds", answerBuckets)
 	}
@@ -84,6 +86,7 @@
 	created.storeRepeats = scope.Counter("store_reads_repeated_total")
 	created.storeRestores = scope.Counter("store_restores_total")
 	created.registrationsRefused = scope.Counter("registrations_refused_total")
+	created.configFaults = scope.Counter("config_faults_total")
 	created.probes = scope.Counter("probes_total")
 	created.peerBytes = scope.Counter("peer_bytes_total")
 	created.eventsLost = scope.Counter("events_lost_total")
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -248,4 +248,7 @@
 	FlowsUntracked = defineLimited(1222, "FlowsUntracked", _warn,
 		"more flows than the memory allows, further ones are forwarded without being measured",
 		"Check whether clients open flows without need; give the machine more memory, or add instances.")
+	ConfigPartUnreadable = defineLimited(1223, "ConfigPartUnreadable", _error,
+		"part of a configuration not understood, the rest is in force",
+		"Correct what the error names and write the configuration again, or update the instances.")
 )
