--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -4,9 +4,10 @@
 	"time"
 
 	"azureshift/core/catalog"
+	"azureshift/core/steer"
 )
 
-// Limits holds the platform's time limits.
+// Limits holds the platform's limits and how flows are placed. They may change while an instance runs.
 type Limits struct {
 	// Drain is the time within which a leaving backend server must stop getting new flows.
 	Drain time.Duration
@@ -16,6 +17,20 @@
 	MaxFlowLife time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
+	// Evacuation is the time within which an evacuated failure domain must stop getting new flows; zero means that it is
+	// not bounded.
+	Evacuation time.Duration
+	// SlowStart bounds the new flows to servers in slow start.
+	SlowStart SlowStartLimit
+	// Placement says how new flows are admitted and placed.
+	Placement steer.Placement
+}
+
+// SlowStartLimit bounds the new flows of all instances to one server in slow start: at most Overshoot times the rate
+// that its service states and Slack more in any second. It is not bounded if both are zero.
+type SlowStartLimit struct {
+	Overshoot float64
+	Slack     float64
 }
 
 // Config holds the identity and the limits of an instance.
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -147,6 +147,7 @@
 	case LimitsChanged:
 		state.now = event.At
 		state.config.Limits = event.Limits
+		state.publishing.changed = true
 	case Stopping:
 		state.now = event.At
 		state.handleStopping()
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -157,6 +157,7 @@
 	records := state.catalog.Servers()
 	table := &steer.Table{
 		Version: config.Version, Routes: state.publishing.routes, IdleTimeout: config.IdleTimeout, AllRegistered: settled,
+		Placement: state.config.Limits.Placement,
 	}
 	clear(state.publishing.cookies)
 	state.publishing.validUntil = math.MaxInt64
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -101,6 +101,14 @@
 	Servers []*Server
 }
 
+// Placement chooses among ways to admit and place new flows.
+type Placement struct {
+	// FleetAdmission bases the refusal of new flows on the demand that all instances report.
+	FleetAdmission bool
+	// EvenLoad compares servers by the load that their flows are expected to bring.
+	EvenLoad bool
+}
+
 // Table is an immutable snapshot of the configuration and the servers. The measures, which change often, are replaced
 // by WithMeasures, which shares everything else with the old table.
 type Table struct {
@@ -118,6 +126,7 @@
 	AllRegistered bool
 	// LiveInstances is the number of live instances in this instance's failure domain, including itself.
 	LiveInstances int
+	Placement     Placement
 
 	measures []Measure
 	// typicalServiceTimes holds the typical service time of each pool, and reportedTotals the totals of its measures.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -152,6 +152,12 @@
 		Convergence: config.Bounds.Convergence.Std(),
 		MaxFlowLife: config.Bounds.FlowLife.Std(),
 		MinLease:    config.Store.LeastLease.Std(),
+		Evacuation:  config.Bounds.Evacuation.Std(),
+		SlowStart:   core.SlowStartLimit{Overshoot: config.Bounds.SlowStartOvershoot, Slack: config.Bounds.SlowStartSlack},
+		Placement: steer.Placement{
+			FleetAdmission: config.Placement.Admission == settings.AdmissionFleet,
+			EvenLoad:       config.Placement.Balance == settings.BalanceEven,
+		},
 	}
 }
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"reflect"
 	"time"
@@ -25,7 +26,9 @@
 	Store   Store   `json:"Store"`
 	Machine Machine `json:"Machine"`
 	Bounds  Bounds  `json:"Bounds"`
-	Log     Log     `json:"Log"`
+	// Placement chooses how new flows are admitted and placed.
+	Placement Placement `json:"Placement"`
+	Log       Log       `json:"Log"`
 }
 
 // Listener holds an address to listen on.
@@ -64,6 +67,41 @@
 	FlowLife Duration `json:"FlowLife"`
 	// Grace is the maximum duration of a planned stop.
 	Grace Duration `json:"Grace"`
+	// Evacuation is the time within which the backend servers of an evacuated failure domain must stop getting new flows;
+	// zero means that it is not bounded.
+	Evacuation Duration `json:"Evacuation"`
+	// A backend server in slow start gets at most SlowStartOvershoot times the rate that its service states, and
+	// SlowStartSlack more, new flows in any second. Both are zero where this is not bounded.
+	SlowStartOvershoot float64 `json:"SlowStartOvershoot"`
+	SlowStartSlack     float64 `json:"SlowStartSlack"`
+}
+
+// Admission says on what instances base the refusal of new flows under overload.
+type Admission string
+
+// The values of Placement.Admission.
+const (
+	// AdmissionInstance infers the demand of all instances from the requests through the instance itself.
+	AdmissionInstance Admission = "Instance"
+	// AdmissionFleet uses the demand that all instances report.
+	AdmissionFleet Admission = "Fleet"
+)
+
+// Balance says by what instances compare backend servers for new flows.
+type Balance string
+
+// The values of Placement.Balance.
+const (
+	// BalanceUsual compares servers by the requests in progress.
+	BalanceUsual Balance = "Usual"
+	// BalanceEven compares servers by the load that their flows are expected to bring.
+	BalanceEven Balance = "Even"
+)
+
+// Placement configures how new flows are admitted and placed.
+type Placement struct {
+	Admission Admission `json:"Admission"`
+	Balance   Balance   `json:"Balance"`
 }
 
 const (
@@ -107,6 +145,8 @@
 	setDefault(&entry.Bounds.Convergence, Duration(_defaultConvergence))
 	setDefault(&entry.Bounds.FlowLife, Duration(_defaultFlowLife))
 	setDefault(&entry.Bounds.Grace, Duration(_defaultGrace))
+	setDefault(&entry.Placement.Admission, AdmissionInstance)
+	setDefault(&entry.Placement.Balance, BalanceUsual)
 	setDefault(&entry.Log.Level, _defaultLevel)
 	setDefault(&entry.Log.Format, FormatJSON)
 	return entry
@@ -128,6 +168,8 @@
 	checkDuration(&faults, "Bounds.Convergence", entry.Bounds.Convergence)
 	checkDuration(&faults, "Bounds.FlowLife", entry.Bounds.FlowLife)
 	checkDuration(&faults, "Bounds.Grace", entry.Bounds.Grace)
+	entry.Bounds.checkOptional(&faults)
+	entry.Placement.check(&faults)
 	if entry.Machine.Processor <= 0 {
 		faults.add("Machine.Processor", "the share of a core must be positive", "write a number such as 0.5")
 	}
@@ -135,3 +177,25 @@
 	entry.Log.check(&faults)
 	return faults
 }
+
+// checkOptional validates the bounds that a deployment may lack.
+func (bounds Bounds) checkOptional(faults *FaultList) {
+	if bounds.Evacuation < 0 {
+		checkDuration(faults, "Bounds.Evacuation", bounds.Evacuation)
+	}
+	if bounds.SlowStartOvershoot < 0 {
+		faults.add("Bounds.SlowStartOvershoot", "the factor is negative", "write a number such as 1.5, or leave it out")
+	}
+	if bounds.SlowStartSlack < 0 {
+		faults.add("Bounds.SlowStartSlack", "the number of flows is negative", "write a number such as 5, or leave it out")
+	}
+}
+
+func (placement Placement) check(faults *FaultList) {
+	if placement.Admission != AdmissionInstance && placement.Admission != AdmissionFleet {
+		faults.add("Placement.Admission", fmt.Sprintf("%q is not known", placement.Admission), "use Instance or Fleet")
+	}
+	if placement.Balance != BalanceUsual && placement.Balance != BalanceEven {
+		faults.add("Placement.Balance", fmt.Sprintf("%q is not known", placement.Balance), "use Usual or Even")
+	}
+}
