--- a/core/steer/track.go
+++ b/core/steer/track.go
@@ -98,9 +98,9 @@
 	return counters.retransmissions == 1, false, latency
 }
 
-// continueUpload notes further data of a request. A client sends new data after a retransmission only once the server has
-// acknowledged earlier data, so it shows that the server is alive, although its acknowledgements bypass the instance. The
-// latency of an upload counts from its last data, as the time before depends on the client.
+// continueUpload notes further data of a request. A client sends new data after a retransmission only once the server
+// has acknowledged earlier data, so it shows that the server is alive, although its acknowledgements bypass the
+// instance. The latency of an upload counts from its last data, as the time before depends on the client.
 func (steering *Steering) continueUpload(now time.Duration, header packet.Header, tracked *flow, counters *counters) {
 	configured, ok := steering.table.Routes[header.Flow.Service]
 	if !ok || configured.Kind != route.Upload {
