Hold evacuations and keep their servers out of the pools

Cause: an operator had no way to stop new flows to a failure domain but to drain each of its servers.

Change: core/catalog holds the evacuations with their revisions, as entries beside registrations (Entry.Evacuated and Reopened, CBOR keys 8 and 9). So listings, watches, updates, views, starts without the store and restores carry them. Withdrawals are kept as long as a flow may last: late messages do not bring an evacuation back, and Reopened tells when it was withdrawn. core/entry marks the servers and leaves them out of the pools where Limits.Evacuation is set; the limit counts among the strictest, so that other instances read the store in time when the follower is lost. core/steer sends no copy of an opening packet to a marked server and refuses new flows at once, with the reason Evacuated, if only marked servers could take them.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -1,5 +1,6 @@
 // Package catalog is an instance's local copy of the platform's store: the registrations of backend servers and entry
-// instances and the operator's configuration, with the revisions that they are from.
+// instances, the operator's configuration and the evacuations of failure domains, with the revisions that they are
+// from.
 package catalog
 
 import (
@@ -13,7 +14,8 @@
 	"azureshift/core/target"
 )
 
-// Entry is one change of a registration. One of Server, MissingServer, Instance and MissingInstance is set.
+// Entry is one change of a registration or an evacuation. One of Server, MissingServer, Instance, MissingInstance,
+// Evacuated and Reopened is set.
 type Entry struct {
 	Revision store.Revision `cbor:"1,keyasint"`
 	// Server is the new registration of a backend server, and Created the revision at which it registered first.
@@ -26,6 +28,10 @@
 	Lease    store.Lease `cbor:"6,keyasint,omitempty"`
 	// MissingInstance names an entry instance without a registration.
 	MissingInstance id.Instance `cbor:"5,keyasint,omitempty"`
+	// Evacuated names a failure domain whose backend servers get no new flows at the operator's request, and Reopened one
+	// for which the operator has withdrawn that request.
+	Evacuated id.Domain `cbor:"8,keyasint,omitempty"`
+	Reopened  id.Domain `cbor:"9,keyasint,omitempty"`
 }
 
 // Record is the last known registration of a backend server and whether it still exists.
@@ -92,9 +98,12 @@
 	// sorted holds the servers by name, or nil if it has to be rebuilt.
 	sorted    []*Record
 	instances map[id.Instance]instanceRecord
-	routes    route.Config
-	deltas    []route.Delta
-	revision  store.Revision
+	// evacuations holds the requested and, for a while, the withdrawn evacuations.
+	evacuations map[id.Domain]Evacuation
+
+	routes   route.Config
+	deltas   []route.Delta
+	revision store.Revision
 	// recent holds the last changes in ascending order of revisions: all of those after recentBase.
 	recent     []Entry
 	recentBase store.Revision
@@ -111,9 +120,10 @@
 // New returns an empty catalog.
 func New(config Config) *Catalog {
 	return &Catalog{
-		config:    config,
-		servers:   make(map[id.Target]*Record),
-		instances: make(map[id.Instance]instanceRecord),
+		config:      config,
+		servers:     make(map[id.Target]*Record),
+		instances:   make(map[id.Instance]instanceRecord),
+		evacuations: make(map[id.Domain]Evacuation),
 	}
 }
 
@@ -182,8 +192,8 @@
 	return joined, found && joined.Size() <= catalog.config.MaxDeltaSize
 }
 
-// ApplyListing applies a complete listing as of a revision: registrations that it lacks no longer exist. It returns the
-// changes.
+// ApplyListing applies a complete listing as of a revision: registrations and evacuations that it lacks no longer
+// exist. It returns the changes.
 func (catalog *Catalog) ApplyListing(interval Interval, entries []Entry, revision store.Revision) []Entry {
 	if revision < catalog.revision {
 		return nil
@@ -208,6 +218,7 @@
 			entries = append(entries, Entry{Revision: revision, MissingInstance: name})
 		}
 	}
+	entries = append(entries, catalog.withdrawnBy(entries, revision)...)
 	changed := catalog.apply(interval, entries)
 	catalog.recent = nil
 	catalog.revision, catalog.recentBase = revision, revision
@@ -253,7 +264,7 @@
 	return nil, true
 }
 
-// Entries returns all existing registrations, sorted by name, for an instance with an empty catalog.
+// Entries returns all existing registrations and evacuations, sorted by name, for an instance with an empty catalog.
 func (catalog *Catalog) Entries() []Entry {
 	var entries []Entry
 	for _, record := range catalog.Servers() {
@@ -269,7 +280,7 @@
 			})
 		}
 	}
-	return entries
+	return append(entries, catalog.evacuationEntries()...)
 }
 
 // Servers returns the backend servers that are registered or retained, sorted by name. The caller must not change
@@ -291,9 +302,10 @@
 	return record, ok
 }
 
-// RemoveExpired removes servers whose registration has been missing for longer than a flow may last, and instances
-// without a registration. It reports whether it removed a server.
+// RemoveExpired removes servers whose registration has been missing for longer than a flow may last, instances without
+// a registration, and evacuations withdrawn longer ago than a flow may last. It reports whether it removed a server.
 func (catalog *Catalog) RemoveExpired(now time.Duration) bool {
+	catalog.forgetWithdrawn(now)
 	removed := false
 	for name, record := range catalog.servers {
 		if record.Missing && now-record.MissingSince > catalog.config.MaxFlowLife {
@@ -361,6 +373,10 @@
 		}
 		known.missing, known.revision = true, entry.Revision
 		catalog.instances[entry.MissingInstance] = known
+	case entry.Evacuated != "":
+		return catalog.evacuate(interval, entry.Evacuated, entry.Revision)
+	case entry.Reopened != "":
+		return catalog.reopen(interval, entry.Reopened, entry.Revision)
 	}
 	return true
 }
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -170,14 +170,19 @@
 // TestAnyOrder checks that a catalog which gets a history in overlapping parts ends like one that gets it at once.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 20).Draw(t, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 20).Draw(t, "steps")
 		var history []Entry
 		for index, step := range steps {
 			name, revision := id.Target(fmt.Sprintf("i-%d", step%3)), store.Revision(index+1)
-			if step < 3 {
+			switch step {
+			case 0, 1, 2:
 				history = append(history, server(name, target.StateReady, revision))
-			} else {
+			case 3, 4, 5:
 				history = append(history, removal(name, revision))
+			case 6:
+				history = append(history, evacuated("a", revision))
+			case 7:
+				history = append(history, reopened("a", revision))
 			}
 		}
 		last := store.Revision(len(history))
@@ -191,6 +196,9 @@
 		if left, right := presentServers(whole), presentServers(parts); !slices.Equal(left, right) {
 			t.Fatalf("whole history %v, parts %v", left, right)
 		}
+		if whole.Evacuated("a") != parts.Evacuated("a") {
+			t.Fatalf("evacuated after the whole history: %t, after parts: %t", whole.Evacuated("a"), parts.Evacuated("a"))
+		}
 	})
 }
 
--- /dev/null
+++ b/core/catalog/evacuation.go
@@ -0,0 +1,115 @@
+package catalog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"azureshift/core/id"
+	"azureshift/core/store"
+)
+
+// Evacuation is the last known state of the operator's request that no new flow be sent to the backend servers of a
+// failure domain.
+type Evacuation struct {
+	Domain   id.Domain
+	Revision store.Revision
+	// Withdrawn says that the operator no longer requests it.
+	Withdrawn bool
+	// ChangedAt is when the request, or its withdrawal, was learned.
+	ChangedAt time.Duration
+}
+
+// Evacuations returns the evacuations that are requested, sorted by failure domain.
+func (catalog *Catalog) Evacuations() []Evacuation {
+	var requested []Evacuation
+	for _, evacuation := range catalog.evacuations {
+		if !evacuation.Withdrawn {
+			requested = append(requested, evacuation)
+		}
+	}
+	slices.SortFunc(requested, func(left, right Evacuation) int { return cmp.Compare(left.Domain, right.Domain) })
+	return requested
+}
+
+// Evacuation returns the last known state of the evacuation of a failure domain, and false if none is known.
+func (catalog *Catalog) Evacuation(domain id.Domain) (Evacuation, bool) {
+	evacuation, ok := catalog.evacuations[domain]
+	return evacuation, ok
+}
+
+// Evacuated reports whether the operator requests the evacuation of a failure domain.
+func (catalog *Catalog) Evacuated(domain id.Domain) bool {
+	evacuation, ok := catalog.evacuations[domain]
+	return ok && !evacuation.Withdrawn
+}
+
+// Reopened returns when the last evacuation of a failure domain was learned to be withdrawn, and false if the failure
+// domain is evacuated, or if no evacuation of it was withdrawn within the maximum duration of a flow.
+func (catalog *Catalog) Reopened(domain id.Domain) (at time.Duration, ok bool) {
+	evacuation := catalog.evacuations[domain]
+	return evacuation.ChangedAt, evacuation.Withdrawn
+}
+
+// evacuationEntries returns the entries of the requested evacuations.
+func (catalog *Catalog) evacuationEntries() []Entry {
+	requested := catalog.Evacuations()
+	entries := make([]Entry, 0, len(requested))
+	for _, evacuation := range requested {
+		entries = append(entries, Entry{Revision: evacuation.Revision, Evacuated: evacuation.Domain})
+	}
+	return entries
+}
+
+// withdrawnBy returns the withdrawals of the evacuations that a complete listing as of a revision lacks.
+func (catalog *Catalog) withdrawnBy(listed []Entry, revision store.Revision) []Entry {
+	requested := make(map[id.Domain]bool)
+	for _, entry := range listed {
+		if entry.Evacuated != "" {
+			requested[entry.Evacuated] = true
+		}
+	}
+	var withdrawals []Entry
+	for _, evacuation := range catalog.Evacuations() {
+		if !requested[evacuation.Domain] && evacuation.Revision <= revision {
+			withdrawals = append(withdrawals, Entry{Revision: revision, Reopened: evacuation.Domain})
+		}
+	}
+	return withdrawals
+}
+
+// evacuate records the request of an evacuation and reports whether the failure domain was not evacuated before.
+func (catalog *Catalog) evacuate(interval Interval, domain id.Domain, revision store.Revision) bool {
+	known, ok := catalog.evacuations[domain]
+	if ok && known.Revision >= revision {
+		return false
+	}
+	if ok && !known.Withdrawn {
+		known.Revision = revision
+		catalog.evacuations[domain] = known
+		return false
+	}
+	catalog.evacuations[domain] = Evacuation{Domain: domain, Revision: revision, ChangedAt: interval.Now}
+	return true
+}
+
+// reopen records the withdrawal of an evacuation and reports whether the failure domain was evacuated before.
+func (catalog *Catalog) reopen(interval Interval, domain id.Domain, revision store.Revision) bool {
+	known, ok := catalog.evacuations[domain]
+	if !ok || known.Withdrawn || known.Revision > revision {
+		return false
+	}
+	catalog.evacuations[domain] = Evacuation{
+		Domain: domain, Revision: revision, Withdrawn: true, ChangedAt: interval.Now,
+	}
+	return true
+}
+
+// forgetWithdrawn removes evacuations that were withdrawn longer ago than a flow may last. Until then, a message that
+// is late cannot bring them back.
+func (catalog *Catalog) forgetWithdrawn(now time.Duration) {
+	maps.DeleteFunc(catalog.evacuations, func(_ id.Domain, evacuation Evacuation) bool {
+		return evacuation.Withdrawn && now-evacuation.ChangedAt > catalog.config.MaxFlowLife
+	})
+}
--- /dev/null
+++ b/core/catalog/evacuation_test.go
@@ -0,0 +1,120 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azureshift/core/id"
+	"azureshift/core/store"
+)
+
+func evacuated(domain id.Domain, revision store.Revision) Entry {
+	return Entry{Revision: revision, Evacuated: domain}
+}
+
+func reopened(domain id.Domain, revision store.Revision) Entry {
+	return Entry{Revision: revision, Reopened: domain}
+}
+
+// inEra returns the revision with a number in an era.
+func inEra(c *qt.C, era store.Era, number uint64) store.Revision {
+	c.Helper()
+	revision, err := store.NewRevision(era, number)
+	c.Assert(err, qt.IsNil)
+	return revision
+}
+
+func assertEvacuated(c *qt.C, catalog *Catalog, domains ...id.Domain) {
+	c.Helper()
+	requested := catalog.Evacuations()
+	held := make([]id.Domain, 0, len(requested))
+	for _, evacuation := range requested {
+		held = append(held, evacuation.Domain)
+		c.Assert(catalog.Evacuated(evacuation.Domain), qt.IsTrue)
+	}
+	c.Assert(held, qt.DeepEquals, append([]id.Domain{}, domains...))
+}
+
+// TestEvacuations guards against an evacuation that is lost, or stays, although the store's content says otherwise.
+func TestEvacuations(t *testing.T) {
+	c := qt.New(t)
+	c.Run("apply until they are withdrawn", func(c *qt.C) {
+		catalog := newCatalog()
+		changed, _ := catalog.ApplyChanges(Interval{}, 0, []Entry{evacuated("a", 1), evacuated("b", 2)}, 2)
+		c.Assert(changed, qt.HasLen, 2)
+		assertEvacuated(c, catalog, "a", "b")
+		changed, _ = catalog.ApplyChanges(Interval{}, 2, []Entry{reopened("a", 3)}, 3)
+		c.Assert(changed, qt.HasLen, 1)
+		assertEvacuated(c, catalog, "b")
+	})
+	c.Run("are withdrawn by a listing that lacks them", func(c *qt.C) {
+		catalog := newCatalog()
+		catalog.ApplyListing(Interval{}, []Entry{evacuated("a", 1), evacuated("b", 2), evacuated("c", 9)}, 5)
+		changed := catalog.ApplyListing(Interval{}, []Entry{evacuated("b", 2)}, 8)
+		c.Assert(changed, qt.DeepEquals, []Entry{reopened("a", 8)})
+		// A page that was read late showed c as of a later revision.
+		assertEvacuated(c, catalog, "b", "c")
+	})
+	c.Run("are no news if the operator writes the key again", func(c *qt.C) {
+		catalog := newCatalog()
+		catalog.ApplyChanges(Interval{}, 0, []Entry{evacuated("a", 1)}, 1)
+		changed, _ := catalog.ApplyChanges(Interval{}, 1, []Entry{evacuated("a", 2)}, 2)
+		c.Assert(changed, qt.HasLen, 0)
+		c.Assert(catalog.ApplyListing(Interval{}, []Entry{evacuated("a", 2)}, 3), qt.HasLen, 0)
+		assertEvacuated(c, catalog, "a")
+	})
+	c.Run("are not brought back by a message that is late", func(c *qt.C) {
+		catalog := newCatalog()
+		catalog.ApplyChanges(Interval{}, 0, []Entry{evacuated("a", 1), reopened("a", 2)}, 2)
+		changed, _ := catalog.ApplyChanges(Interval{}, 0, []Entry{evacuated("a", 1)}, 3)
+		c.Assert(changed, qt.HasLen, 0)
+		assertEvacuated(c, catalog)
+	})
+	c.Run("reach an instance with an empty catalog", func(c *qt.C) {
+		catalog, started := newCatalog(), newCatalog()
+		catalog.ApplyChanges(Interval{}, 0, []Entry{evacuated("b", 1), evacuated("a", 2), reopened("b", 3)}, 3)
+		started.ApplyListing(Interval{}, catalog.Entries(), catalog.Revision())
+		assertEvacuated(c, started, "a")
+	})
+	c.Run("follow a restored store", func(c *qt.C) {
+		catalog := newCatalog()
+		catalog.ApplyListing(Interval{}, []Entry{
+			evacuated("a", inEra(c, 1, 3)), evacuated("b", inEra(c, 1, 5)),
+		}, inEra(c, 1, 6))
+		catalog.ApplyChanges(Interval{}, catalog.Revision(), []Entry{reopened("a", inEra(c, 1, 7))}, inEra(c, 1, 7))
+		// The copy has a and not yet b.
+		changed := catalog.ApplyListing(Interval{}, []Entry{evacuated("a", inEra(c, 2, 3))}, inEra(c, 2, 4))
+		c.Assert(changed, qt.DeepEquals, []Entry{evacuated("a", inEra(c, 2, 3)), reopened("b", inEra(c, 2, 4))})
+		assertEvacuated(c, catalog, "a")
+	})
+}
+
+// TestReopened guards against servers that count as warm too early: those of a failure domain are cold for some time
+// after its evacuation was withdrawn.
+func TestReopened(t *testing.T) {
+	c := qt.New(t)
+	at := func(now time.Duration) Interval { return Interval{Now: now} }
+	catalog := newCatalog()
+	assertReopened := func(c *qt.C, since time.Duration, known bool) {
+		c.Helper()
+		reopenedAt, ok := catalog.Reopened("a")
+		c.Assert(ok, qt.Equals, known)
+		if ok {
+			c.Assert(reopenedAt, qt.Equals, since)
+		}
+	}
+	c.Run("is unknown of a failure domain that was not evacuated", func(c *qt.C) { assertReopened(c, 0, false) })
+	catalog.ApplyChanges(at(time.Second), 0, []Entry{evacuated("a", 1)}, 1)
+	c.Run("is unknown while the failure domain is evacuated", func(c *qt.C) { assertReopened(c, 0, false) })
+	catalog.ApplyChanges(at(2*time.Second), 1, []Entry{reopened("a", 2)}, 2)
+	catalog.ApplyChanges(at(3*time.Second), 2, []Entry{reopened("a", 3)}, 3)
+	c.Run("is when the withdrawal was first learned", func(c *qt.C) { assertReopened(c, 2*time.Second, true) })
+	c.Run("is forgotten after the longest flow", func(c *qt.C) {
+		catalog.RemoveExpired(2*time.Second + time.Minute)
+		assertReopened(c, 2*time.Second, true)
+		catalog.RemoveExpired(2*time.Second + time.Minute + 1)
+		assertReopened(c, 0, false)
+	})
+}
--- a/core/entry/belief_test.go
+++ b/core/entry/belief_test.go
@@ -18,7 +18,7 @@
 	for _, state := range world.states {
 		revision := state.catalog.Revision()
 		var version route.Version
-		servers := make(map[id.Target]target.State)
+		servers, evacuated := make(map[id.Target]target.State), make(map[id.Domain]bool)
 		for _, change := range world.histories[revision.Era()][:revision.Number()] {
 			switch {
 			case change.config != nil && !world.lost[change.config.Version]:
@@ -27,6 +27,10 @@
 				servers[change.entry.Server.ID] = change.entry.Server.State
 			case change.entry.MissingServer != "":
 				servers[change.entry.MissingServer] = 0
+			case change.entry.Evacuated != "":
+				evacuated[change.entry.Evacuated] = true
+			case change.entry.Reopened != "":
+				evacuated[change.entry.Reopened] = false
 			}
 		}
 		name := state.config.Self.Name
@@ -34,6 +38,7 @@
 			t.Fatalf("%s at revision %d knows version %d and not version %d", name, revision, known, version)
 		}
 		world.assertUnconfirmed(t, state)
+		assertEvacuations(t, state, evacuated)
 		for server, expected := range servers {
 			record, ok := state.catalog.Server(server)
 			held := target.State(0)
@@ -48,6 +53,24 @@
 	}
 }
 
+// assertEvacuations asserts that an instance holds the evacuations that the changes up to its revision left.
+func assertEvacuations(t *rapid.T, state *State, expected map[id.Domain]bool) {
+	revision := state.catalog.Revision()
+	for _, evacuation := range state.catalog.Evacuations() {
+		if _, ok := expected[evacuation.Domain]; !ok && evacuation.Revision <= revision {
+			t.Fatalf("%s at revision %d has %s evacuated", state.config.Self.Name, revision, evacuation.Domain)
+		}
+	}
+	for domain, evacuated := range expected {
+		known, ok := state.catalog.Evacuation(domain)
+		newer := ok && known.Revision > revision
+		if state.catalog.Evacuated(domain) != evacuated && !newer {
+			t.Fatalf("%s at revision %d has evacuation of %s as %t and not %t",
+				state.config.Self.Name, revision, domain, !evacuated, evacuated)
+		}
+	}
+}
+
 // assertUnconfirmed asserts that an instance does not confirm its state while it lacks a configuration.
 func (world *beliefWorld) assertUnconfirmed(t *rapid.T, state *State) {
 	if state.missingConfig() == 0 {
@@ -80,6 +103,8 @@
 			state := target.State(pick(int(target.StateDraining) + 1))
 			world.register(pick(_beliefServers), state)
 		},
+		"evacuate": func(*rapid.T) { world.evacuate(pick(_beliefDomains), true) },
+		"reopen":   func(*rapid.T) { world.evacuate(pick(_beliefDomains), false) },
 	}
 }
 
@@ -143,6 +168,9 @@
 	world := newBeliefWorld()
 	world.configure(_maxDeltaSize + 1)
 	world.register(1, target.StateDraining)
+	world.evacuate(0, true)
+	world.evacuate(1, true)
+	world.evacuate(0, false)
 	for range 60 {
 		for len(world.calls) > 0 {
 			call := world.calls[0]
@@ -166,5 +194,7 @@
 		_, revision := world.current()
 		c.Assert(state.catalog.Revision(), qt.Equals, revision)
 		c.Assert(state.catalog.Routes().Version, qt.Equals, world.version)
+		c.Assert(state.catalog.Evacuations(), qt.HasLen, 1)
+		c.Assert(state.catalog.Evacuated("z-1"), qt.IsTrue)
 	}
 }
--- a/core/entry/belief_world_test.go
+++ b/core/entry/belief_world_test.go
@@ -46,6 +46,7 @@
 const (
 	_beliefInstances = 4
 	_beliefServers   = 3
+	_beliefDomains   = 2
 	_beliefSeries    = 4
 	// _maxEras bounds the number of restores, and _maxLostChanges what each of them loses.
 	_maxEras        = 3
@@ -135,11 +136,24 @@
 	world.write(storeChange{entry: entry})
 }
 
+// evacuate writes the operator's request to evacuate a failure domain, or removes it.
+func (world *beliefWorld) evacuate(number int, requested bool) {
+	domain := id.Domain(fmt.Sprintf("z-%d", number))
+	entry := catalog.Entry{Reopened: domain}
+	if requested {
+		entry = catalog.Entry{Evacuated: domain}
+	}
+	world.write(storeChange{entry: entry})
+}
+
 // start starts an instance, or starts it again without what it knew.
 func (world *beliefWorld) start(index int) {
 	state := New(Config{
-		Self:   beliefSelf(index, id.Incarnation(world.now)),
-		Limits: Limits{Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Hour, MinLease: time.Second},
+		Self: beliefSelf(index, id.Incarnation(world.now)),
+		Limits: Limits{
+			Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Hour, MinLease: time.Second,
+			Evacuation: _drainLimit,
+		},
 		Seeds:  []Address{beliefSelf(0, 1).Address, beliefSelf(1, 1).Address},
 		Random: func() float64 { return 0 },
 	})
@@ -239,6 +253,10 @@
 			latest[string(entry.Server.ID)] = entry
 		case entry.Instance != nil:
 			latest[string(entry.Instance.Name)] = entry
+		case entry.Evacuated != "":
+			latest[string(entry.Evacuated)] = entry
+		case entry.Reopened != "":
+			delete(latest, string(entry.Reopened))
 		default:
 			delete(latest, string(entry.MissingServer))
 		}
@@ -246,7 +264,8 @@
 	entries := make([]catalog.Entry, 0, len(latest))
 	for _, change := range history {
 		if entry := change.entry; entry.Server != nil && latest[string(entry.Server.ID)].Revision == entry.Revision ||
-			entry.Instance != nil && latest[string(entry.Instance.Name)].Revision == entry.Revision {
+			entry.Instance != nil && latest[string(entry.Instance.Name)].Revision == entry.Revision ||
+			entry.Evacuated != "" && latest[string(entry.Evacuated)].Revision == entry.Revision {
 			entries = append(entries, entry)
 		}
 	}
--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -23,6 +23,8 @@
 
 const (
 	_drainLimit = 3 * time.Second
+	// _evacuationLimit is no stricter than the other limits, so that it changes no timing.
+	_evacuationLimit = 3 * time.Second
 	// _convergenceTime is how long an instance must have reached the store before it is checked.
 	_convergenceTime = 4 * time.Second
 	_storeDelay      = 4 * time.Millisecond
@@ -52,6 +54,8 @@
 	sentMessages int
 	// onSend, if set, is called for each message.
 	onSend func(node *node, effect Send)
+	// evacuationLimit is the limit of instances that start from now on; zero disables evacuations.
+	evacuationLimit time.Duration
 }
 
 type backend struct {
@@ -93,6 +97,8 @@
 		},
 		partitioned: func(id.Domain, id.Domain) bool { return false },
 		saturated:   make(map[id.Instance]bool),
+
+		evacuationLimit: _evacuationLimit,
 	}
 }
 
@@ -124,8 +130,11 @@
 	node.reachableSince = cluster.now
 	node.self.Incarnation = id.Incarnation(cluster.now) + 1
 	node.state = New(Config{
-		Self:   node.self,
-		Limits: Limits{Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Minute, MinLease: time.Second},
+		Self: node.self,
+		Limits: Limits{
+			Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Minute, MinLease: time.Second,
+			Evacuation: cluster.evacuationLimit,
+		},
 		Seeds:  []Address{netip.MustParseAddrPort("10.97.0.1:8166"), netip.MustParseAddrPort("10.98.0.1:8166")},
 		Random: cluster.random.Float64,
 	})
@@ -323,9 +332,11 @@
 				late := actual.retired && cluster.now-actual.changedAt > _drainLimit
 				cluster.c.Assert(late, qt.IsFalse, qt.Commentf("%s still offers flows to %s at %s",
 					node.self.Name, server.ID, cluster.now))
+				cluster.checkEvacuation(node, server)
 			}
 		}
 	}
+	cluster.checkReopened(node)
 	for _, server := range node.table.Servers {
 		if server.Condition == steer.Dead {
 			cluster.c.Assert(cluster.servers[server.ID].alive, qt.IsFalse,
@@ -346,6 +357,12 @@
 // startCluster returns a cluster with the given numbers of instances and servers in each of three failure domains.
 func startCluster(c *qt.C, seed uint64, instances, servers int) *cluster {
 	cluster := newCluster(c, seed)
+	cluster.populate(instances, servers)
+	return cluster
+}
+
+// populate starts the given numbers of instances and servers in each of three failure domains.
+func (cluster *cluster) populate(instances, servers int) {
 	cluster.configure(3)
 	number := 0
 	for _, domain := range []id.Domain{"a", "b", "c"} {
@@ -357,7 +374,6 @@
 			cluster.addServer(domain, number)
 		}
 	}
-	return cluster
 }
 
 func (cluster *cluster) orderedNodes() []*node {
--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -178,9 +178,14 @@
 	_isolationTimeout = 4 * time.Second
 )
 
-// strictest returns the shorter of the drain and convergence limits.
+// strictest returns the shortest of the limits on how old the state may be: drain, convergence and, if it is bounded,
+// evacuation.
 func (limits Limits) strictest() time.Duration {
-	return min(limits.Drain, limits.Convergence)
+	strictest := min(limits.Drain, limits.Convergence)
+	if limits.Evacuation > 0 {
+		return min(strictest, limits.Evacuation)
+	}
+	return strictest
 }
 
 func portion(duration time.Duration, fraction float64) time.Duration {
--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -92,7 +92,8 @@
 	Revision store.Revision
 	// Known is the revision that the instance had before a listing.
 	Known store.Revision
-	// Domain is the failure domain of the server, and Slowness the judgement of its latency.
+	// Domain is the failure domain of the server, or the evacuated one, and Slowness the judgement of the server's
+	// latency.
 	Domain   id.Domain
 	Slowness detector.SlownessChange
 	// Servers and Instances are the numbers of registrations in a first listing.
@@ -142,6 +143,10 @@
 	NoteServerSlow
 	// NoteServerUsual is a backend server that no longer answers much later than others.
 	NoteServerUsual
+	// NoteEvacuated is a failure domain whose evacuation the operator requests.
+	NoteEvacuated
+	// NoteReopened is a failure domain for which the operator has withdrawn that request.
+	NoteReopened
 )
 
 func (List) effect()       {}
@@ -174,6 +179,10 @@
 		note.Kind, note.Instance, note.Value = NoteInstance, entry.Instance.Name, "Registered"
 	case entry.MissingInstance != "":
 		note.Kind, note.Instance, note.Value = NoteInstance, entry.MissingInstance, "Missing"
+	case entry.Evacuated != "":
+		note.Kind, note.Domain = NoteEvacuated, entry.Evacuated
+	case entry.Reopened != "":
+		note.Kind, note.Domain = NoteReopened, entry.Reopened
 	}
 	return note
 }
--- /dev/null
+++ b/core/entry/evacuation.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"azureshift/core/catalog"
+	"azureshift/core/id"
+)
+
+// The causes of the notes about evacuations.
+const (
+	// _causeOperator is the operator's request or its withdrawal.
+	_causeOperator = "OperatorRequest"
+	// _causeNotBounded is a request that has no effect, as the settings do not bound evacuations.
+	_causeNotBounded = "NotBounded"
+)
+
+// enforcesEvacuations reports whether evacuations take effect, which is so if the settings bound them.
+func (state *State) enforcesEvacuations() bool {
+	return state.config.Limits.Evacuation > 0
+}
+
+// evacuated reports whether the backend servers of a failure domain get no new flows at the operator's request.
+func (state *State) evacuated(domain id.Domain) bool {
+	return state.enforcesEvacuations() && state.catalog.Evacuated(domain)
+}
+
+// countEvacuated returns the number of evacuated failure domains, including those without servers.
+func (state *State) countEvacuated() int {
+	if !state.enforcesEvacuations() {
+		return 0
+	}
+	return len(state.catalog.Evacuations())
+}
+
+// describe returns the log note of a changed entry of the catalog.
+func (state *State) describe(entry catalog.Entry) Note {
+	note := describe(entry, state.age())
+	if note.Kind == NoteEvacuated || note.Kind == NoteReopened {
+		note.Cause = _causeOperator
+		if !state.enforcesEvacuations() {
+			note.Cause = _causeNotBounded
+		}
+	}
+	return note
+}
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -32,6 +32,10 @@
 	// silentReads holds the instances whose next read of the configuration gets no answer.
 	silentReads map[id.Instance]bool
 	calls       int
+	// evacuatedAt is when the keys of the evacuated failure domains were written, and reopenedAt when the last key was
+	// removed.
+	evacuatedAt map[id.Domain]time.Duration
+	reopenedAt  time.Duration
 	// disruptedAt is the time of the last disruption, and configuredAt that of the last configuration change.
 	disruptedAt  time.Duration
 	configuredAt time.Duration
@@ -148,7 +152,7 @@
 			entry.Created = known.Created
 		}
 		cluster.store.entries[key] = entry
-		if entry.MissingServer != "" || entry.MissingInstance != "" {
+		if entry.MissingServer != "" || entry.MissingInstance != "" || entry.Reopened != "" {
 			delete(cluster.store.entries, key)
 		}
 	}
@@ -254,6 +258,7 @@
 		cluster.c.Assert(err, qt.IsNil)
 		cluster.store.entries[key] = entry
 	}
+	cluster.restoreEvacuations()
 	cluster.store.disruptedAt = cluster.now
 	pause := func() time.Duration { return time.Duration(cluster.random.Int64N(int64(_rewriteTime))) }
 	if config.Version != copied.config.Version {
--- a/core/entry/random_faults_test.go
+++ b/core/entry/random_faults_test.go
@@ -47,7 +47,7 @@
 func (cluster *cluster) applyRandomEvent(lastServer *int, copied *fakeCopy) {
 	nodes := cluster.orderedNodes()
 	node := nodes[cluster.random.IntN(len(nodes))]
-	switch cluster.random.IntN(16) {
+	switch cluster.random.IntN(17) {
 	case 0:
 		cluster.kill(node)
 	case 1, 2:
@@ -84,6 +84,18 @@
 		cluster.configureLarge(cluster.store.config.Version + 2)
 	case 15:
 		cluster.store.maxChanges = 1 + cluster.random.IntN(8)
+	case 16:
+		cluster.toggleEvacuation()
+	}
+}
+
+// loseFollowers kills the followers a few milliseconds from now. They may have read the last change and told nobody.
+func (cluster *cluster) loseFollowers() {
+	cluster.runFor(time.Duration(cluster.random.IntN(8)) * time.Millisecond)
+	for _, node := range cluster.orderedNodes() {
+		if node.state.reading.active {
+			cluster.kill(node)
+		}
 	}
 }
 
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -308,12 +308,13 @@
 
 func (state *State) note(entries []catalog.Entry) {
 	for _, entry := range entries {
-		state.emit(describe(entry, state.age()))
+		state.emit(state.describe(entry))
 	}
 }
 
-// noteAndApplyFirst logs the first state of the store and applies it. The log gets only the number of entries: an
-// instance with little processor time would take longer to write a line for each than to read the whole listing.
+// noteAndApplyFirst logs the first state of the store and applies it. The log gets only the evacuations and the number
+// of registrations: an instance with little processor time would take longer to write a line for each than to read the
+// whole listing.
 func (state *State) noteAndApplyFirst(entries []catalog.Entry) {
 	note := Note{Kind: NoteListed, Age: state.age(), Revision: state.catalog.Revision()}
 	for _, entry := range entries {
@@ -322,6 +323,8 @@
 			note.Servers++
 		case entry.Instance != nil:
 			note.Instances++
+		case entry.Evacuated != "":
+			state.emit(state.describe(entry))
 		}
 	}
 	state.emit(note)
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -157,7 +157,7 @@
 	records := state.catalog.Servers()
 	table := &steer.Table{
 		Version: config.Version, Routes: state.publishing.routes, IdleTimeout: config.IdleTimeout, AllRegistered: settled,
-		Placement: state.config.Limits.Placement,
+		Placement: state.config.Limits.Placement, Evacuated: state.countEvacuated(),
 	}
 	clear(state.publishing.cookies)
 	state.publishing.validUntil = math.MaxInt64
@@ -197,6 +197,7 @@
 		Condition: state.condition(record),
 		Hash:      xxhash.Sum64String(string(record.ID)),
 		Warm:      state.now >= record.LearnedAt+record.SlowStartLeft,
+		Evacuated: state.evacuated(record.Domain),
 	})
 	state.publishing.cookies[cookie] = record.ID
 	state.publishing.rebuildAt(state.now, record.LearnedAt+record.SlowStartLeft)
@@ -249,7 +250,7 @@
 }
 
 // addSuspects lets suspect servers take new flows of services without usable servers, so that a false suspicion does
-// not make a service unavailable.
+// not make a service unavailable. Evacuated servers take none.
 func (state *State) addSuspects(table *steer.Table) {
 	missing := make(map[id.Service]bool)
 	for _, server := range table.Servers {
--- a/core/steer/decision.go
+++ b/core/steer/decision.go
@@ -63,13 +63,15 @@
 	ServerDead
 	// ServerUnreachable says that the flow's backend server does not answer this instance.
 	ServerUnreachable
+	// Evacuated says that all backend servers that could take the flow are in evacuated failure domains.
+	Evacuated
 )
 
 var _reasons = [...]string{
 	NewFlow: "Offered", RetransmittedOpening: "OfferedAgain", NextServer: "Moved", Established: "Established",
 	NoConfig: "NoConfig", NoRoute: "NoRoute", Stale: "Stale", NoServer: "NoServer", Overloaded: "Overloaded",
 	NoCookie: "NoCookie", UnknownServer: "UnknownServer", ServerGone: "ServerGone", ServerDead: "ServerDead",
-	ServerUnreachable: "ServerUnreachable",
+	ServerUnreachable: "ServerUnreachable", Evacuated: "Evacuated",
 }
 
 // String returns the reason as it is written in logs.
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -41,10 +41,7 @@
 	hash := hashAttempt(header)
 	pool := steering.choosePool(configured, hash)
 	if pool == nil {
-		if !steering.table.AllRegistered {
-			return Decision{Action: Drop, Reason: NoServer}
-		}
-		return Decision{Action: Reset, Reason: NoServer}
+		return steering.table.refuseWithoutServers(configured)
 	}
 	demand := steering.demandOf(pool.Service)
 	counts := demand.counts(now, configured)
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -85,13 +85,14 @@
 }
 
 // openFlow decides on an opening packet. An early retransmission goes to the same server, whose answer may be on the
-// way. A later one goes to the next server in the flow's order, as a server that is full, dead or cut off does not
-// answer.
+// way, unless the operator has evacuated it since. A later one goes to the next server in the flow's order, as a server
+// that is full, dead or cut off does not answer.
 func (steering *Steering) openFlow(now time.Duration, header packet.Header) Decision {
 	tracked, isTracked := steering.flows[header.Flow]
 	isRetransmission := isTracked && tracked.halfOpen && tracked.initialSequence == header.Sequence
 	if isRetransmission && now-tracked.openingSent < _minRetransmitDelay {
-		if server, ok := steering.table.Servers[tracked.cookie]; ok && server.Condition < Unreachable {
+		server, ok := steering.table.Servers[tracked.cookie]
+		if ok && server.Condition < Unreachable && !server.Evacuated {
 			return Decision{Action: Forward, Reason: RetransmittedOpening, Server: server}
 		}
 	}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -55,6 +55,8 @@
 	Hash uint64
 	// Warm says that the server has completed its slow start.
 	Warm bool
+	// Evacuated says that the server's failure domain is evacuated: the server keeps its flows and gets no new ones.
+	Evacuated bool
 
 	// measureIndex is the server's index in the table's measures.
 	measureIndex int
@@ -127,6 +129,11 @@
 	// LiveInstances is the number of live instances in this instance's failure domain, including itself.
 	LiveInstances int
 	Placement     Placement
+	// Evacuated is the number of evacuated failure domains, including those without servers.
+	Evacuated int
+
+	// evacuatedServices holds the services with servers that get no new flows only because they are evacuated.
+	evacuatedServices map[id.Service]bool
 
 	measures []Measure
 	// typicalServiceTimes holds the typical service time of each pool, and reportedTotals the totals of its measures.
@@ -144,8 +151,12 @@
 	table.Servers[server.Cookie] = server
 }
 
-// AddToPool makes an added server available to new flows.
+// AddToPool makes an added server available to new flows, unless it is evacuated.
 func (table *Table) AddToPool(server *Server) {
+	if server.Evacuated {
+		table.noteEvacuated(server.Service)
+		return
+	}
 	if table.Pools == nil {
 		table.Pools = make(map[id.Service]*Pool)
 	}
--- a/entry/note.go
+++ b/entry/note.go
@@ -26,6 +26,8 @@
 	core.NoteStoreRestored: event.StoreRestored,
 	core.NoteServerSlow:    event.ServerSlow,
 	core.NoteServerUsual:   event.ServerUsual,
+	core.NoteEvacuated:     event.DomainEvacuated,
+	core.NoteReopened:      event.DomainReopened,
 }
 
 // logNote logs a note of the control state.
@@ -48,6 +50,9 @@
 		fields["LatencyMs"], fields["UsualMs"] = note.Slowness.Latency.Milliseconds(), note.Slowness.Usual.Milliseconds()
 		fields["Answers"], fields["SinceMs"] = note.Slowness.Answers, note.Slowness.Since.Milliseconds()
 	}
+	if note.Kind == core.NoteEvacuated || note.Kind == core.NoteReopened {
+		fields["ServerDomain"] = note.Domain
+	}
 	if note.Version > 0 {
 		fields["Version"] = note.Version
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -177,7 +177,8 @@
 	FlowMoved  = defineLimited(1002, "FlowMoved", _info, "flow offered to the next backend server",
 		"Check the previous server if this persists.")
 	FlowRefused = defineLimited(1003, "FlowRefused", _warn, "new flow refused before it was opened",
-		"See the reason: add backend servers for NoServer and Overloaded, a route for NoRoute.")
+		"See the reason: add backend servers for NoServer and Overloaded, a route for NoRoute, and for Evacuated "+
+			"withdraw the evacuation of a failure domain or add backend servers to others.")
 	FlowReset = defineLimited(1004, "FlowReset", _warn, "flow reset: its backend server cannot respond",
 		"Check the server named in the line.")
 	PacketDropped = defineLimited(1005, "PacketDropped", _info,
@@ -251,4 +252,10 @@
 	ConfigPartUnreadable = defineLimited(1223, "ConfigPartUnreadable", _error,
 		"part of a configuration not understood, the rest is in force",
 		"Correct what the error names and write the configuration again, or update the instances.")
+	DomainEvacuated = define(1224, "DomainEvacuated", _warn,
+		"operator requests the evacuation of a failure domain, its backend servers get no new flows",
+		"Remove the operator's request once the failure domain may get new flows again. "+
+			"The request has no effect if the cause is NotBounded: set Bounds.Evacuation.")
+	DomainReopened = define(1225, "DomainReopened", _info,
+		"evacuation of a failure domain was withdrawn, its backend servers get new flows", _noRemedy)
 )
