Read evacuations from the store and show them to the operator

Cause: core/entry holds evacuations, but nothing read the operator's keys.

No value is kept. Keys are cut at 256 bytes in these lines. The page of servers, the command azureshift-entry servers and the gauge of servers have the condition Evacuated with the reason OperatorRequest; failed and leaving servers keep theirs. The gauge evacuated_domains counts the evacuated failure domains.

--- a/cmd/azureshift-entry/command/servers_test.go
+++ b/cmd/azureshift-entry/command/servers_test.go
@@ -30,6 +30,7 @@
 	first := startInstance(c, entry.ServersPage{Instance: "morbegno-1", Servers: []entry.ServerStatus{
 		{Server: "i-slow", Service: "chiosco", Condition: entry.ServerSlow, ServiceTimeMs: 300, UsualMs: 40, Answers: 9},
 		{Server: "i-usual", Service: "chiosco", Condition: entry.ServerUsable, ServiceTimeMs: 41, UsualMs: 40},
+		{Server: "i-kept", Service: "chiosco", Condition: entry.ServerEvacuated, Reason: "OperatorRequest"},
 	}})
 	second := startInstance(c, entry.ServersPage{Instance: "tirano-1", Servers: []entry.ServerStatus{
 		{Server: "i-slower", Service: "chiosco", Condition: entry.ServerSlow, ServiceTimeMs: 500, UsualMs: 40},
@@ -42,10 +43,14 @@
 		status, stdout, _ := run("-from", first+","+second)
 		c.Assert(status, qt.Equals, cli.ExitOK)
 		lines := strings.Split(strings.TrimSpace(stdout), "\n")
-		c.Assert(lines, qt.HasLen, 3)
+		c.Assert(lines, qt.HasLen, 4)
 		c.Assert(lines[1], qt.Matches, `i-slower .*Slow.* 12\.5 +500ms +40ms.*tirano-1`)
 		c.Assert(lines[2], qt.Matches, `i-slow .*Slow.* 7\.5 +300ms +40ms.*morbegno-1`)
 	})
+	c.Run("prints evacuated servers", func(c *qt.C) {
+		_, stdout, _ := run("-from", first)
+		c.Assert(stdout, qt.Matches, `(?s).*i-kept .* Evacuated +OperatorRequest .*`)
+	})
 	c.Run("prints usable servers if asked to", func(c *qt.C) {
 		_, stdout, _ := run("-from", first, "-all")
 		c.Assert(stdout, qt.Contains, "i-usual")
@@ -54,7 +59,7 @@
 		_, stdout, _ := run("-from", first, "-json")
 		var page entry.ServersPage
 		c.Assert(json.Unmarshal([]byte(stdout), &page), qt.IsNil)
-		c.Assert(page.Servers, qt.HasLen, 2)
+		c.Assert(page.Servers, qt.HasLen, 3)
 	})
 	c.Run("prints what it can read and fails", func(c *qt.C) {
 		status, stdout, stderr := run("-from", "127.0.0.1:1,"+first)
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// decode returns the registrations and removals of servers and instances among the changes, and the newest
-// configuration, or nil if there is none or it is unreadable.
+// decode returns the registrations and removals of servers and instances and the evacuations among the changes, and the
+// newest configuration, or nil if there is none or it is unreadable.
 func (daemon *Daemon) decode(changes []store.Change) ([]catalog.Entry, *route.Config) {
 	entries := make([]catalog.Entry, 0, len(changes))
 	var config *store.Change
@@ -118,6 +118,10 @@
 			entries = append(entries, daemon.decodeServer(change))
 		case strings.HasPrefix(change.Key, _instancePrefix):
 			entries = append(entries, daemon.decodeInstance(change))
+		case strings.HasPrefix(change.Key, platform.EvacuationPrefix):
+			if entry, ok := daemon.decodeEvacuation(change); ok {
+				entries = append(entries, entry)
+			}
 		}
 	}
 	if config == nil {
@@ -187,7 +191,8 @@
 	return nil
 }
 
-// maxValue returns the size in bytes of the largest value that is read of a key: none of the keys of others.
+// maxValue returns the size in bytes of the largest value that is read of a key: none of evacuations, which their keys
+// describe, nor of the keys of others.
 func maxValue(key string) int {
 	switch {
 	case key == platform.ConfigKey:
@@ -204,11 +209,15 @@
 	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
 }
 
-// logUnreadable counts and logs a registration that names no server or instance to use.
+// _maxLoggedKey is the greatest length in bytes of a key in the log; those of registrations are shorter.
+const _maxLoggedKey = 256
+
+// logUnreadable counts and logs a registration that names no server or instance to use, or an evacuation without a
+// usable name.
 func (daemon *Daemon) logUnreadable(err error, change *store.Change) {
 	daemon.metrics.registrationsRefused.Inc(1)
 	daemon.log.LogError(event.RegistrationUnreadable, err, event.Fields{
-		"Key": change.Key, "Bytes": change.Size, "Revision": change.Revision.Number(),
+		"Key": change.Key[:min(len(change.Key), _maxLoggedKey)], "Bytes": change.Size, "Revision": change.Revision.Number(),
 	})
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -31,11 +31,13 @@
 	page   *page.Page
 	closer io.Closer
 
-	packetDecisions  []tally.Counter
-	handlingTime     tally.Histogram
-	answerLatency    map[route.Kind]tally.Histogram
-	flows            tally.Gauge
-	servers          serverGauges
+	packetDecisions []tally.Counter
+	handlingTime    tally.Histogram
+	answerLatency   map[route.Kind]tally.Histogram
+	flows           tally.Gauge
+	servers         serverGauges
+	// evacuatedDomains is the number of evacuated failure domains, including those without servers.
+	evacuatedDomains tally.Gauge
 	packetsMalformed tally.Counter
 	flowsAbandoned   tally.Counter
 	// packetsUntracked counts packets of flows that were not tracked for want of memory.
@@ -75,6 +77,7 @@
 	}
 	created.flows = scope.Gauge("flows")
 	created.servers = serverGauges{scope: scope, byService: make(map[id.Service]map[ServerCondition]tally.Gauge)}
+	created.evacuatedDomains = scope.Gauge("evacuated_domains")
 	created.packetsMalformed = scope.Counter("packets_malformed_total")
 	created.packetsUntracked = scope.Counter("packets_untracked_total")
 	created.flowsAbandoned = scope.Counter("flows_abandoned_total")
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -40,12 +40,16 @@
 	ServerSilent ServerCondition = "Silent"
 	// ServerDraining servers leave, or have no registration, and get no new flows.
 	ServerDraining ServerCondition = "Draining"
+	// ServerEvacuated servers are in a failure domain that the operator evacuates and get no new flows.
+	ServerEvacuated ServerCondition = "Evacuated"
 	// ServerDead servers have stopped.
 	ServerDead ServerCondition = "Dead"
 )
 
 func serverConditions() []ServerCondition {
-	return []ServerCondition{ServerUsable, ServerSlow, ServerSilent, ServerDraining, ServerDead}
+	return []ServerCondition{
+		ServerUsable, ServerSlow, ServerSilent, ServerDraining, ServerEvacuated, ServerDead,
+	}
 }
 
 // ServerStatus is what an instance believes of one backend server.
@@ -85,7 +89,10 @@
 	case steer.Leaving:
 		return ServerDraining, "Registration"
 	case steer.Usable:
-		if opinion.Slow {
+		switch {
+		case opinion.Evacuated:
+			return ServerEvacuated, "OperatorRequest"
+		case opinion.Slow:
 			return ServerSlow, "ServiceTime"
 		}
 	}
