Limit new flows to servers in slow start over the whole fleet

Change: core/slowstart splits the limit of a server into shares of at most a fifth. The instances that rank highest for the server by rendezvous hashing over the registered instances have one each, and one share stays in reserve. An instance uses a share only after it has ranked as owner for the freshness limit and two seconds, and only while its knowledge is confirmed; so no message passes and no store is asked. It counts its flows, copies included, in a window of 1.2 s. core/entry tells the table which servers are cold and of which this instance has a share; core/steer leaves the others out of the choice and refuses a flow with the reason SlowStart if none is left. Nothing changes where the bounds are not set, or no server is cold.

--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -356,7 +356,9 @@
 		}
 	}
 	if registered {
-		state.fleet.Register(state.catalog.Instances())
+		instances := state.catalog.Instances()
+		state.fleet.Register(instances)
+		state.slowStarting.updateMembership(state.now, state.slowStartFreshness(), instances)
 	}
 }
 
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -31,6 +31,7 @@
 	registration  registration
 	relaying      relaying
 	publishing    publishing
+	slowStarting  slowStarting
 
 	evidenceQueue evidenceQueue
 	probing       probing
@@ -56,7 +57,8 @@
 			Self: config.Self, LivenessTimeout: _instanceTimeout, UpstreamTimeout: _upstreamTimeout, Fanout: _fanout,
 			CrossDomainFanout: _remoteReceivers,
 		}),
-		detector: detector.New(detector.DefaultConfig()),
+		detector:     detector.New(detector.DefaultConfig()),
+		slowStarting: newSlowStarting(config.Self),
 		publishing: publishing{
 			cookies:  make(map[packet.Cookie]id.Target),
 			lastUsed: make(map[id.Target]time.Duration),
@@ -185,6 +187,7 @@
 	if !state.stopping {
 		state.sendUpdatesIfDue()
 	}
+	state.slowStarting.membership.Confirm(state.now, state.slowStartFreshness(), state.reading.confirmedAt)
 	state.publishIfChanged()
 	state.noteStaleness()
 	ready := !state.stopping && state.informed() && !state.isolated()
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -117,6 +117,7 @@
 	if publishing.configChanged || publishing.routes == nil {
 		publishing.routes = routesByEndpoint(state.catalog.Routes())
 		publishing.services = servicesOf(state.catalog.Routes())
+		state.slowStarting.configure(state.catalog.Routes())
 	}
 	publishing.built, publishing.builtAt = state.buildTable(settled), state.now
 	publishing.changed, publishing.configChanged = false, false
@@ -149,6 +150,7 @@
 		return loads.Measure(state.now, server.Cookie)
 	})
 	table.ConfirmedAt, table.LiveInstances = state.reading.confirmedAt, state.fleet.CountLive(state.now)
+	table.SharesUntil = state.slowStarting.membership.ClaimsUntil(state.slowStartFreshness())
 	return table
 }
 
@@ -161,6 +163,7 @@
 	}
 	clear(state.publishing.cookies)
 	state.publishing.validUntil = math.MaxInt64
+	state.slowStarting.membership.Refresh(state.now, state.slowStartFreshness())
 	for _, record := range records {
 		state.addServer(table, record)
 	}
@@ -172,6 +175,7 @@
 	}
 	state.addSuspects(table)
 	table.PreferDomain(state.config.Self.Domain)
+	state.finishSlowStarts(table)
 	return table
 }
 
@@ -191,15 +195,18 @@
 		}
 		state.emit(Note{Kind: NoteCollision, Server: other.ID, Value: string(record.ID)})
 	}
-	table.Add(&steer.Server{
+	warmAt := state.warmAt(record)
+	server := &steer.Server{
 		Target:    record.Target,
 		Cookie:    cookie,
 		Condition: state.condition(record),
 		Hash:      xxhash.Sum64String(string(record.ID)),
-		Warm:      state.now >= record.LearnedAt+record.SlowStartLeft,
-	})
+		Warm:      state.now >= warmAt,
+	}
+	state.limitSlowStart(server, record)
+	table.Add(server)
 	state.publishing.cookies[cookie] = record.ID
-	state.publishing.rebuildAt(state.now, record.LearnedAt+record.SlowStartLeft)
+	state.publishing.rebuildAt(state.now, warmAt)
 	if record.Missing {
 		state.publishing.rebuildAt(state.now, state.keepUntil(record)+1)
 	}
--- a/core/steer/decision.go
+++ b/core/steer/decision.go
@@ -63,13 +63,16 @@
 	ServerDead
 	// ServerUnreachable says that the flow's backend server does not answer this instance.
 	ServerUnreachable
+	// SlowStart says that every backend server that would take the flow is in slow start, and gets no more flows from this
+	// instance now.
+	SlowStart
 )
 
 var _reasons = [...]string{
 	NewFlow: "Offered", RetransmittedOpening: "OfferedAgain", NextServer: "Moved", Established: "Established",
 	NoConfig: "NoConfig", NoRoute: "NoRoute", Stale: "Stale", NoServer: "NoServer", Overloaded: "Overloaded",
 	NoCookie: "NoCookie", UnknownServer: "UnknownServer", ServerGone: "ServerGone", ServerDead: "ServerDead",
-	ServerUnreachable: "ServerUnreachable",
+	ServerUnreachable: "ServerUnreachable", SlowStart: "SlowStart",
 }
 
 // String returns the reason as it is written in logs.
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -49,13 +49,17 @@
 	demand := steering.demandOf(pool.Service)
 	counts := demand.counts(now, configured)
 	persistent := counts.persistent()
-	zone := steering.chooseZone(pool, hash, persistent)
-	server := steering.chooseServer(now, pool, zone, hash, int(header.Acknowledged), persistent)
+	candidates := steering.candidates(now, pool)
+	if candidates == nil {
+		return Decision{Action: Reset, Reason: SlowStart}
+	}
+	zone := steering.chooseZone(candidates, hash, persistent)
+	server := steering.chooseServer(now, candidates, zone, hash, int(header.Acknowledged), persistent)
 	limit := latencyLimit(configured, steering.table.TypicalServiceTime(pool))
 	if limit == 0 {
 		return Decision{Action: Forward, Reason: NewFlow, Server: server}
 	}
-	server, hasHeadroom := steering.findHeadroom(pool, server, demand, hash, limit, persistent)
+	server, hasHeadroom := steering.findHeadroom(candidates, server, demand, hash, limit, persistent)
 	decision := steering.shedDecision(now, configured, pool, demand, limit, hasHeadroom)
 	if hashFraction(hash, _shedSalt) < decision.RefusedShare {
 		steering.countersOf(server.Cookie, now).refused++
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -5,6 +5,7 @@
 
 	"azureshift/core/id"
 	"azureshift/core/packet"
+	"azureshift/core/slowstart"
 )
 
 const (
@@ -51,6 +52,7 @@
 	inProgress int
 	// unknownSince holds when packets for unknown servers were first seen.
 	unknownSince map[packet.Cookie]time.Duration
+	slowStarts   slowStarts
 }
 
 // New returns a Steering without flows and with an empty table.
@@ -63,6 +65,7 @@
 		demands:  make(map[id.Service]*demand),
 
 		unknownSince: make(map[packet.Cookie]time.Duration),
+		slowStarts:   slowStarts{windows: make(map[packet.Cookie]*slowstart.Window)},
 	}
 }
 
@@ -92,6 +95,10 @@
 	isRetransmission := isTracked && tracked.halfOpen && tracked.initialSequence == header.Sequence
 	if isRetransmission && now-tracked.openingSent < _minRetransmitDelay {
 		if server, ok := steering.table.Servers[tracked.cookie]; ok && server.Condition < Unreachable {
+			if !steering.admits(now, server) {
+				return Decision{Action: Drop, Reason: SlowStart, Server: server}
+			}
+			steering.countOpening(now, server)
 			return Decision{Action: Forward, Reason: RetransmittedOpening, Server: server}
 		}
 	}
@@ -114,6 +121,7 @@
 		decision.Reason = NextServer
 		decision.StallDetected = steering.recordUnansweredOpening(now, tracked)
 	}
+	steering.countOpening(now, decision.Server)
 	steering.addFlow(now, header, decision.Server)
 	steering.demandOf(decision.Server.Service).countOpened(now, configured)
 	return decision
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -55,6 +55,10 @@
 	Hash uint64
 	// Warm says that the server has completed its slow start.
 	Warm bool
+	// ColdUntil is when the limit on new flows to a server in slow start ends; zero if there is none. Until then this
+	// instance sends it at most SlowStartShare new flows in any second.
+	ColdUntil      time.Duration
+	SlowStartShare int
 
 	// measureIndex is the server's index in the table's measures.
 	measureIndex int
@@ -93,12 +97,19 @@
 
 	// typicalIndex is the index of the pool's typical service time in the table.
 	typicalIndex int
+	// coldUntil is the latest ColdUntil of the servers, and open the pool without servers in slow start that get no flows
+	// from this instance; nil if there are none in slow start.
+	coldUntil time.Duration
+	open      *Pool
 }
 
 // Zone holds the backend servers of one service in one failure domain.
 type Zone struct {
 	Domain  id.Domain
 	Servers []*Server
+
+	// unlimited is the number of servers that are not in slow start; they come first. It is set in Pool.open.
+	unlimited int
 }
 
 // Placement chooses among ways to admit and place new flows.
@@ -126,7 +137,9 @@
 	AllRegistered bool
 	// LiveInstances is the number of live instances in this instance's failure domain, including itself.
 	LiveInstances int
-	Placement     Placement
+	// SharesUntil is until when this instance may use its shares of the limits of servers in slow start.
+	SharesUntil time.Duration
+	Placement   Placement
 
 	measures []Measure
 	// typicalServiceTimes holds the typical service time of each pool, and reportedTotals the totals of its measures.
--- a/core/steer/track.go
+++ b/core/steer/track.go
@@ -208,6 +208,7 @@
 // given up, and counts the flows that clients use. It is to be called about once a second.
 func (steering *Steering) Expire(now time.Duration) {
 	steering.forgetUnknown(now)
+	steering.slowStarts.forget(now)
 	for _, demand := range steering.demands {
 		demand.activeFlows = 0
 	}
