--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -48,6 +48,9 @@
 	partitioned func(left, right id.Domain) bool
 	// saturated holds instances whose link is saturated, so that their probes are lost.
 	saturated map[id.Instance]bool
+	// slowStart bounds new flows to servers in slow start, and slowStartLeft is the slow start of new servers.
+	slowStart     SlowStartLimit
+	slowStartLeft time.Duration
 	// sentMessages is the number of messages between instances.
 	sentMessages int
 	// onSend, if set, is called for each message.
@@ -57,6 +60,7 @@
 type backend struct {
 	target.Target
 	alive     bool
+	startedAt time.Duration
 	changedAt time.Duration
 	// retired says that the server must get no new flows.
 	retired bool
@@ -124,8 +128,11 @@
 	node.reachableSince = cluster.now
 	node.self.Incarnation = id.Incarnation(cluster.now) + 1
 	node.state = New(Config{
-		Self:   node.self,
-		Limits: Limits{Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Minute, MinLease: time.Second},
+		Self: node.self,
+		Limits: Limits{
+			Drain: _drainLimit, Convergence: _drainLimit, MaxFlowLife: time.Minute, MinLease: time.Second,
+			SlowStart: cluster.slowStart,
+		},
 		Seeds:  []Address{netip.MustParseAddrPort("10.97.0.1:8166"), netip.MustParseAddrPort("10.98.0.1:8166")},
 		Random: cluster.random.Float64,
 	})
@@ -253,9 +260,9 @@
 		Target: target.Target{
 			ID: name, Number: target.Number(number), Service: "chiosco", Domain: domain, Slots: 3,
 			State: target.StateReady, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 64, byte(number)}), 80),
-			StartTime: target.StartTime(1 + cluster.now.Milliseconds()),
+			StartTime: target.StartTime(1 + cluster.now.Milliseconds()), SlowStartLeft: cluster.slowStartLeft,
 		},
-		alive: true, changedAt: cluster.now,
+		alive: true, startedAt: cluster.now, changedAt: cluster.now,
 	}
 	cluster.servers[name] = added
 	cluster.registerServer(added)
--- a/core/slowstart/split.go
+++ b/core/slowstart/split.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// _shares is the number of shares into which a large limit is split. More shares spread the flows to a cold server over
-	// more instances, which refuse fewer of the flows that routers send them, and lose less with one instance.
+	// _shares is the number of shares into which a large limit is split. More shares spread the flows to a cold server
+	// over more instances, which refuse fewer of the flows that routers send them, and lose less with one instance.
 	_shares = 5
 	// _reservedShares is the number of shares that belong to no instance. It keeps the limit if one instance more than
 	// intended sends flows to a server.
--- a/core/steer/slowstart.go
+++ b/core/steer/slowstart.go
@@ -20,8 +20,8 @@
 	return now < server.ColdUntil
 }
 
-// LimitSlowStarts separates the servers to which this instance may send no new flows while they are in slow start. It is
-// to be called when all servers are in their pools, and reports whether new flows to any server are limited.
+// LimitSlowStarts separates the servers to which this instance may send no new flows while they are in slow start. It
+// is to be called when all servers are in their pools, and reports whether new flows to any server are limited.
 func (table *Table) LimitSlowStarts() bool {
 	limited := false
 	for _, pool := range table.Pools {
--- a/core/steer/slowstart_test.go
+++ b/core/steer/slowstart_test.go
@@ -17,8 +17,8 @@
 	return cold
 }
 
-// limitedTable returns a table of the servers in which limits for servers in slow start are in force. Its routes have no
-// objective, so that no flow is refused for other reasons.
+// limitedTable returns a table of the servers in which limits for servers in slow start are in force. Its routes have
+// no objective, so that no flow is refused for other reasons.
 func limitedTable(servers ...*measuredServer) *Table {
 	table := tableOf(servers...)
 	table.SharesUntil = time.Minute
@@ -83,19 +83,32 @@
 		times := opened["i-00000001"]
 		c.Assert(times[len(times)-1] <= time.Second, qt.IsTrue, qt.Commentf("%v", times))
 	})
-	c.Run("get flows as usual once they are warm", func(c *qt.C) {
+	c.Run("keep their counts in a new table", func(c *qt.C) {
+		steering := newSteering(limitedTable(coldServer(1, "a", 1)))
+		c.Assert(steering.Decide(0, syn(1, _orders, 0)).Action, qt.Equals, Forward)
+		steering.SetTable(limitedTable(coldServer(1, "a", 1), coldServer(2, "a", 0)))
+		steering.Expire(500 * time.Millisecond)
+		c.Assert(steering.Decide(time.Second, syn(2, _orders, 0)).Reason, qt.Equals, SlowStart)
+	})
+}
+
+// TestFlowsBesideServersInSlowStart guards against flows that are refused, or sent to servers in slow start, although
+// another server can take them.
+func TestFlowsBesideServersInSlowStart(t *testing.T) {
+	c := qt.New(t)
+	c.Run("go there as usual once they are warm", func(c *qt.C) {
 		steering := newSteering(limitedTable(coldServer(1, "a", 1)))
 		_, refused := open(c, steering, 10*time.Second, 11*time.Second, 20*time.Millisecond)
 		c.Assert(refused, qt.Equals, 0)
 	})
-	c.Run("are replaced by those of another failure domain", func(c *qt.C) {
+	c.Run("go to another failure domain", func(c *qt.C) {
 		steering := newSteering(limitedTable(coldServer(1, "a", 0), coldServer(2, "a", 1), server(3, "b")))
 		opened, refused := open(c, steering, 0, 5*time.Second, 10*time.Millisecond)
 		assertWithinShare(c, opened["i-00000002"], 1)
 		c.Assert(len(opened["i-00000003"]) > 400, qt.IsTrue, qt.Commentf("%v", opened))
 		c.Assert(refused, qt.Equals, 0)
 	})
-	c.Run("get no flows instead of a server that is busy", func(c *qt.C) {
+	c.Run("leave a busy server only within the share", func(c *qt.C) {
 		busy := busyServer(2, "a", 9)
 		steering := newSteering(limitedTable(coldServer(1, "a", 0), busy, coldServer(3, "b", 1)))
 		for _, configured := range steering.table.Routes {
@@ -112,19 +125,12 @@
 		c.Assert(len(opened["i-00000003"]) > 0, qt.IsTrue)
 		assertWithinShare(c, opened["i-00000003"], 1)
 	})
-	c.Run("keep their counts in a new table", func(c *qt.C) {
-		steering := newSteering(limitedTable(coldServer(1, "a", 1)))
-		c.Assert(steering.Decide(0, syn(1, _orders, 0)).Action, qt.Equals, Forward)
-		steering.SetTable(limitedTable(coldServer(1, "a", 1), coldServer(2, "a", 0)))
-		steering.Expire(500 * time.Millisecond)
-		c.Assert(steering.Decide(time.Second, syn(2, _orders, 0)).Reason, qt.Equals, SlowStart)
-	})
-	c.Run("still get the packets of their flows", func(c *qt.C) {
+	c.Run("that are open go on", func(c *qt.C) {
 		steering := newSteering(limitedTable(coldServer(1, "a", 0)))
 		decision := steering.Decide(0, data(1, _orders, packet.Cookie(1), 1001, 1, 10))
 		c.Assert(decision.Action, qt.Equals, Forward)
 	})
-	c.Run("that have no limit get flows as before", func(c *qt.C) {
+	c.Run("go there as before if there is no limit", func(c *qt.C) {
 		cold := server(1, "a")
 		cold.Warm = false
 		_, refused := open(c, newSteering(limitedTable(cold)), 0, time.Second, 10*time.Millisecond)
