--- a/core/slowstart/limit_test.go
+++ b/core/slowstart/limit_test.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestOneOwnerTooMany lets an instance use a share of every server all the time, as one would that knows of no other. It
-// guards against a split without a reserve.
+// TestOneOwnerTooMany lets an instance use a share of every server all the time, as one would that knows of no other.
+// It guards against a split without a reserve.
 func TestOneOwnerTooMany(t *testing.T) {
 	c := qt.New(t)
 	world := newWorld(c, 1, _instances, _servers, slowstart.Disabled{})
--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -108,7 +108,7 @@
 			return
 		}
 		opening.server = server
-		server.placedFlows++
+		server.recordPlaced(simulation.clock.Now())
 		simulation.clock.After(2*simulation.delay(request.zone, server)+_clientDelay, func() {
 			opening.header = packet.Header{
 				Flow: opening.header.Flow, Flags: packet.ACK, Sequence: opening.header.Sequence + 1, Acknowledged: 1,
--- a/experiment/load/config.go
+++ b/experiment/load/config.go
@@ -55,6 +55,8 @@
 	// ColdPeriod is how long a server is slow after its start, and ColdFactor multiplies the service time in it.
 	ColdPeriod time.Duration
 	ColdFactor float64
+	// SlowStartFlows is the number of new flows that a cold server may get in any second; zero means any.
+	SlowStartFlows int
 	// UserRate is the number of requests per second of one user. Each user reuses flows of its own, so that a burst of
 	// users opens flows. If it is zero, all clients of a failure domain share their flows.
 	UserRate float64
--- a/experiment/load/policy.go
+++ b/experiment/load/policy.go
@@ -71,6 +71,9 @@
 // Place implements Policy.
 func (policy *steeringPolicy) Place(now time.Duration, header packet.Header) *server {
 	decision := policy.steering.Decide(now, header)
+	if decision.Reason == steer.SlowStart {
+		policy.simulation.result.RefusedSlowStart++
+	}
 	if decision.Action != steer.Forward {
 		return nil
 	}
--- a/experiment/load/result.go
+++ b/experiment/load/result.go
@@ -21,6 +21,10 @@
 	// RefusedLate counts failed requests that reached no server and took longer to fail than a quarter of their
 	// objective.
 	RefusedLate int
+	// RefusedSlowStart counts attempts to open a flow that were refused as all servers that could take it were cold.
+	RefusedSlowStart int
+	// MostColdFlows is the largest number of flows that any server got in a second while it was cold.
+	MostColdFlows int
 	// WorstSecond, WorstZone and WorstKind are the smallest shares answered in time of any second, failure domain and
 	// kind.
 	WorstSecond float64
@@ -122,6 +126,7 @@
 	for _, server := range simulation.servers {
 		total += server.busyTime
 		busiest = max(busiest, server.busyTime)
+		result.MostColdFlows = max(result.MostColdFlows, mostInASecond(server.placedCold))
 	}
 	if total > 0 {
 		result.Imbalance = float64(busiest) * float64(len(simulation.servers)) / float64(total)
--- a/experiment/load/server.go
+++ b/experiment/load/server.go
@@ -25,6 +25,8 @@
 	dead        bool
 	// placedFlows counts the flows that were placed on the server.
 	placedFlows int
+	// placedCold holds the times at which flows were placed on the server after the warm-up while it was cold.
+	placedCold []time.Duration
 }
 
 // arrive runs, queues or rejects a request. A crashed server does not answer.
--- a/experiment/load/simulation.go
+++ b/experiment/load/simulation.go
@@ -12,6 +12,7 @@
 	"azureshift/core/id"
 	"azureshift/core/packet"
 	"azureshift/core/route"
+	"azureshift/core/slowstart"
 	"azureshift/core/steer"
 	"azureshift/core/target"
 	"azureshift/experiment/virtual"
@@ -34,8 +35,10 @@
 	knownCrashed map[packet.Cookie]bool
 	draining     map[packet.Cookie]bool
 	instances    []*instance
-	zones        []*zone
-	routes       map[packet.Endpoint]*route.Route
+	// memberships holds what each instance knows of the others, if new flows to cold servers are limited.
+	memberships []*slowstart.Membership
+	zones       []*zone
+	routes      map[packet.Endpoint]*route.Route
 	// windowStart is the index of the first load in the next exchange, if an exchange does not include all loads.
 	windowStart int
 	result      Result
@@ -122,6 +125,7 @@
 			added.instances = append(added.instances, started)
 		}
 	}
+	simulation.createMemberships()
 	return simulation
 }
 
@@ -201,15 +205,24 @@
 // publishTables passes the table of known servers to every instance.
 func (simulation *simulation) publishTables() {
 	now := simulation.clock.Now()
+	if simulation.config.SlowStartFlows > 0 {
+		for number, instance := range simulation.instances {
+			instance.policy.Update(now, instance.measuredTable(now, simulation.coldTableOf(number)))
+		}
+		return
+	}
 	for number := range simulation.zones {
-		table := simulation.tableFor(number)
+		table := simulation.tableFor(number, func(*server, *steer.Server) {})
 		for _, instance := range simulation.zones[number].instances {
 			instance.policy.Update(now, instance.measuredTable(now, table))
 		}
 	}
 }
 
-func (simulation *simulation) tableFor(zoneIndex int) *steer.Table {
+// tableFor returns the table of the instances of a failure domain. The function adjusts each server of the table.
+func (simulation *simulation) tableFor(
+	zoneIndex int, adjust func(server *server, known *steer.Server),
+) *steer.Table {
 	now := simulation.clock.Now()
 	table := &steer.Table{
 		Version: 1, Routes: simulation.routes, IdleTimeout: 15 * time.Second, ConfirmedAt: now, AllRegistered: true,
@@ -222,6 +235,7 @@
 			Hash: uint64(number+1) * 0x9E3779B97F4A7C15,
 			Warm: now-server.started >= simulation.config.ColdPeriod,
 		}
+		adjust(server, known)
 		table.Add(known)
 		switch {
 		case simulation.knownCrashed[cookie]:
