Show servers in slow start and refused flows in metrics

Cause: an operator could not tell flows that were refused for slow start from dropped copies, nor see how many servers are cold.

Change: the gauge azureshift_servers_in_slow_start and the counter azureshift_flows_refused_slow_start_total; the remedy of FlowRefused names the reason SlowStart. A table is built once, not twice, when the slow start of a server ends under the limit.

--- a/core/entry/slowstart.go
+++ b/core/entry/slowstart.go
@@ -78,7 +78,7 @@
 }
 
 // limitSlowStart sets until when a server gets new flows only within the limit for servers in slow start, and the share
-// of the limit that this instance has. The table is built again when either changes.
+// of the limit that this instance has.
 func (state *State) limitSlowStart(server *steer.Server, record *catalog.Record) {
 	limit := state.config.Limits.SlowStart
 	if !limit.inForce() {
@@ -89,7 +89,6 @@
 		return
 	}
 	server.ColdUntil = coldUntil
-	state.publishing.rebuildAt(state.now, coldUntil)
 	rate := state.slowStarting.services[record.Service].SlowStartRate
 	split := slowstart.SplitOf(slowstart.Flows(float64(rate), limit.Overshoot, limit.Slack))
 	if state.slowStarting.membership.Owns(state.now, state.slowStartFreshness(), server.Hash, split.Owners) {
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -206,7 +206,7 @@
 	state.limitSlowStart(server, record)
 	table.Add(server)
 	state.publishing.cookies[cookie] = record.ID
-	state.publishing.rebuildAt(state.now, warmAt)
+	state.publishing.rebuildAt(state.now, max(warmAt, server.ColdUntil))
 	if record.Missing {
 		state.publishing.rebuildAt(state.now, state.keepUntil(record)+1)
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -207,7 +207,9 @@
 	daemon.metrics.flows.Update(float64(flows))
 	if now-daemon.serversCounted >= _serverCountPeriod {
 		daemon.serversCounted = now
-		daemon.metrics.servers.update(daemon.currentTable())
+		table := daemon.currentTable()
+		daemon.metrics.servers.update(table)
+		daemon.metrics.serversCold.Update(float64(table.CountCold(now)))
 	}
 	daemon.log.Flush()
 	if dropped := daemon.logQueue.Dropped(); dropped > 0 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -38,6 +38,10 @@
 	servers          serverGauges
 	packetsMalformed tally.Counter
 	flowsAbandoned   tally.Counter
+	// serversCold is the number of servers whose new flows are limited while they are in slow start, and
+	// flowsRefusedCold counts the new flows that were refused for that reason.
+	serversCold      tally.Gauge
+	flowsRefusedCold tally.Counter
 	// packetsUntracked counts packets of flows that were not tracked for want of memory.
 	packetsUntracked tally.Counter
 	storeCalls       map[storeCall]tally.Counter
@@ -78,6 +82,8 @@
 	created.packetsMalformed = scope.Counter("packets_malformed_total")
 	created.packetsUntracked = scope.Counter("packets_untracked_total")
 	created.flowsAbandoned = scope.Counter("flows_abandoned_total")
+	created.serversCold = scope.Gauge("servers_in_slow_start")
+	created.flowsRefusedCold = scope.Counter("flows_refused_slow_start_total")
 	created.storeCalls = make(map[storeCall]tally.Counter)
 	for _, call := range storeCalls() {
 		created.storeCalls[call] = scope.Tagged(map[string]string{"Call": string(call)}).Counter("store_calls_total")
@@ -100,6 +106,9 @@
 
 func (metrics *metrics) count(decision steer.Decision) {
 	metrics.packetDecisions[decision.Reason].Inc(1)
+	if decision.Reason == steer.SlowStart && decision.Action == steer.Reset {
+		metrics.flowsRefusedCold.Inc(1)
+	}
 	if histogram, ok := metrics.answerLatency[decision.Kind]; ok && decision.Latency > 0 {
 		histogram.RecordDuration(decision.Latency)
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -177,7 +177,7 @@
 	FlowMoved  = defineLimited(1002, "FlowMoved", _info, "flow offered to the next backend server",
 		"Check the previous server if this persists.")
 	FlowRefused = defineLimited(1003, "FlowRefused", _warn, "new flow refused before it was opened",
-		"See the reason: add backend servers for NoServer and Overloaded, a route for NoRoute.")
+		"See the reason: add backend servers for NoServer and Overloaded, a route for NoRoute; wait for SlowStart.")
 	FlowReset = defineLimited(1004, "FlowReset", _warn, "flow reset: its backend server cannot respond",
 		"Check the server named in the line.")
 	PacketDropped = defineLimited(1005, "PacketDropped", _info,
