--- a/core/entry/slowstart.go
+++ b/core/entry/slowstart.go
@@ -28,6 +28,8 @@
 	membership *slowstart.Membership
 	// services holds the settings of the services of the configuration.
 	services map[id.Service]route.Service
+	// reopened returns when the withdrawal of the evacuation of a failure domain was learned, and false if none was.
+	reopened func(domain id.Domain) (at time.Duration, ok bool)
 }
 
 func newSlowStarting(self catalog.Instance) slowStarting {
@@ -35,15 +37,11 @@
 		membership: slowstart.NewMembership(slowstart.Config{
 			Self: slowstart.Member{Name: self.Name, Incarnation: self.Incarnation},
 		}),
+		// The catalog does not hold evacuations yet; with catalog.Reopened this is to be that method.
+		reopened: func(id.Domain) (at time.Duration, ok bool) { return 0, false },
 	}
 }
 
-// reopened returns when the withdrawal of the evacuation of a failure domain became known, and false if there was none.
-// It is the one place that asks for it.
-func (state *State) reopened(id.Domain) (at time.Duration, ok bool) {
-	return 0, false
-}
-
 // slowStartFreshness is how long after its last confirmation the state may decide who owns shares of servers in slow
 // start. Instances in touch with the store are never further behind it.
 func (state *State) slowStartFreshness() time.Duration {
@@ -67,10 +65,14 @@
 	}
 }
 
-// warmAt returns when a server completes its slow start.
+// warmAt returns when a server completes its slow start. After the withdrawal of an evacuation that is not before the
+// slow start of its service has passed, even if its registration does not show it yet.
 func (state *State) warmAt(record *catalog.Record) time.Duration {
 	at := record.LearnedAt + record.SlowStartLeft
-	reopenedAt, ok := state.reopened(record.Domain)
+	if !state.config.Limits.SlowStart.inForce() {
+		return at
+	}
+	reopenedAt, ok := state.slowStarting.reopened(record.Domain)
 	if service := state.slowStarting.services[record.Service]; ok && service.SlowStart > 0 {
 		at = max(at, reopenedAt+_heartbeatInterval+service.SlowStart)
 	}
--- a/core/entry/slowstart_test.go
+++ b/core/entry/slowstart_test.go
@@ -7,8 +7,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"azureshift/core/catalog"
 	"azureshift/core/id"
 	"azureshift/core/packet"
+	"azureshift/core/route"
 	"azureshift/core/steer"
 )
 
@@ -164,6 +166,38 @@
 	})
 }
 
+// TestReopenedDomain guards against flows without limit to servers of a failure domain whose evacuation was withdrawn,
+// and whose registrations do not show their slow start yet.
+func TestReopenedDomain(t *testing.T) {
+	c := qt.New(t)
+	const slowStart = 2 * time.Second
+	cluster := startColdCluster(c, 4)
+	cluster.slowStartLeft = 0
+	cluster.write("", catalog.Entry{}, &route.Config{
+		Version: 4, IdleTimeout: 15 * time.Second, Routes: cluster.store.config.Routes,
+		Services: []route.Service{{Name: "chiosco", SlowStart: slowStart}},
+	})
+	cluster.checkFor(12 * time.Second)
+	node := cluster.orderedNodes()[0]
+	c.Assert(node.table.CountCold(cluster.now), qt.Equals, 0)
+	reopenedAt := cluster.now
+	node.state.slowStarting.reopened = func(domain id.Domain) (time.Duration, bool) { return reopenedAt, domain == "b" }
+	cluster.addServer("c", 50)
+	cluster.checkFor(time.Second)
+	c.Assert(node.table.CountCold(cluster.now), qt.Equals, 2)
+	for _, server := range node.table.Servers {
+		if server.Domain == "b" {
+			c.Assert(server.Warm, qt.IsFalse)
+			c.Assert(server.ColdUntil, qt.Equals, reopenedAt+slowStart+_heartbeatInterval+_slowStartMargin)
+		}
+	}
+	cluster.checkFor(slowStart + _heartbeatInterval + _slowStartMargin)
+	c.Assert(node.table.CountCold(cluster.now), qt.Equals, 0)
+	for _, server := range node.table.Servers {
+		c.Assert(server.Warm, qt.IsTrue)
+	}
+}
+
 // changeInstances ends the registration of an instance, which goes on without it, is killed or restarts, or starts one
 // that was killed.
 func (cluster *cluster) changeInstances() {
