--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -31,6 +31,7 @@
 	registration  registration
 	relaying      relaying
 	publishing    publishing
+	slowStarting  slowStarting
 
 	evidenceQueue evidenceQueue
 	probing       probing
@@ -62,6 +63,7 @@
 			lastUsed: make(map[id.Target]time.Duration),
 		},
 	}
+	state.slowStarting = newSlowStarting(config.Self, state.catalog)
 	state.publishing.loads.Slots = state.slots
 	state.publishing.loads.Seed = xxhash.Sum64String(string(config.Self.Name))
 	return state
@@ -185,6 +187,7 @@
 	if !state.stopping {
 		state.sendUpdatesIfDue()
 	}
+	state.slowStarting.membership.Confirm(state.now, state.slowStartFreshness(), state.reading.confirmedAt)
 	state.publishIfChanged()
 	state.noteStaleness()
 	ready := !state.stopping && state.informed() && !state.isolated()
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -93,6 +93,6 @@
 	Services []Service `cbor:"3,keyasint"`
 	// IdleTimeout is how long a flow may be idle before it may be removed.
 	IdleTimeout time.Duration `cbor:"4,keyasint"`
-	// Unreadable names what is left out because it could not be understood. It is empty once the configuration is in force.
+	// Unreadable names what is left out because it could not be understood. It is empty once the configuration applies.
 	Unreadable Unreadable `cbor:"-"`
 }
--- a/core/steer/decision.go
+++ b/core/steer/decision.go
@@ -65,13 +65,16 @@
 	ServerUnreachable
 	// Evacuated says that all backend servers that could take the flow are in evacuated failure domains.
 	Evacuated
+	// SlowStart says that every backend server that would take the flow is in slow start, and gets no more flows from this
+	// instance now.
+	SlowStart
 )
 
 var _reasons = [...]string{
 	NewFlow: "Offered", RetransmittedOpening: "OfferedAgain", NextServer: "Moved", Established: "Established",
 	NoConfig: "NoConfig", NoRoute: "NoRoute", Stale: "Stale", NoServer: "NoServer", Overloaded: "Overloaded",
 	NoCookie: "NoCookie", UnknownServer: "UnknownServer", ServerGone: "ServerGone", ServerDead: "ServerDead",
-	ServerUnreachable: "ServerUnreachable", Evacuated: "Evacuated",
+	ServerUnreachable: "ServerUnreachable", Evacuated: "Evacuated", SlowStart: "SlowStart",
 }
 
 // String returns the reason as it is written in logs.
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -57,6 +57,10 @@
 	Warm bool
 	// Evacuated says that the server's failure domain is evacuated: the server keeps its flows and gets no new ones.
 	Evacuated bool
+	// ColdUntil is when the limit on new flows to a server in slow start ends; zero if there is none. Until then this
+	// instance sends it at most SlowStartShare new flows in any second.
+	ColdUntil      time.Duration
+	SlowStartShare int
 
 	// measureIndex is the server's index in the table's measures.
 	measureIndex int
@@ -95,12 +99,19 @@
 
 	// typicalIndex is the index of the pool's typical service time in the table.
 	typicalIndex int
+	// coldUntil is the latest ColdUntil of the servers, and open the pool without servers in slow start that get no flows
+	// from this instance; nil if there are none in slow start.
+	coldUntil time.Duration
+	open      *Pool
 }
 
 // Zone holds the backend servers of one service in one failure domain.
 type Zone struct {
 	Domain  id.Domain
 	Servers []*Server
+
+	// unlimited is the number of servers that are not in slow start; they come first. It is set in Pool.open.
+	unlimited int
 }
 
 // Placement chooses among ways to admit and place new flows.
@@ -129,6 +140,8 @@
 	// LiveInstances is the number of live instances in this instance's failure domain, including itself.
 	LiveInstances int
 	Placement     Placement
+	// SharesUntil is until when this instance may use its shares of the limits of servers in slow start.
+	SharesUntil time.Duration
 	// Evacuated is the number of evacuated failure domains, including those without servers.
 	Evacuated int
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -178,7 +178,7 @@
 		"Check the previous server if this persists.")
 	FlowRefused = defineLimited(1003, "FlowRefused", _warn, "new flow refused before it was opened",
 		"See the reason: add backend servers for NoServer and Overloaded, a route for NoRoute, and for Evacuated "+
-			"withdraw the evacuation of a failure domain or add backend servers to others.")
+			"withdraw the evacuation of a failure domain or add backend servers to others; wait for SlowStart.")
 	FlowReset = defineLimited(1004, "FlowReset", _warn, "flow reset: its backend server cannot respond",
 		"Check the server named in the line.")
 	PacketDropped = defineLimited(1005, "PacketDropped", _info,
