End shares of cold servers with a gap or a suspension

Cause: a published table kept the shares from before a time without confirmed knowledge: the next confirmation alone would have extended them. After a suspension that no rebuild followed, the traffic thread counted the age of its table without the suspension, and before the control loop notices one, it could use a share that another instance has by now.

Change: SharesUntil is zero until the claim delay has passed again; a table is built when confirmation ends or returns, and after each suspension; an opening packet to a cold server is dropped where the machine was just suspended.

--- a/core/entry/slowstart.go
+++ b/core/entry/slowstart.go
@@ -48,6 +48,15 @@
 	return state.config.Limits.strictest()
 }
 
+// confirmMembership passes on when the state was last confirmed, and has a table published when that ends the claims of
+// shares, or is the first of the confirmations that lead to claims.
+func (state *State) confirmMembership() {
+	changed := state.slowStarting.membership.Confirm(state.now, state.slowStartFreshness(), state.reading.confirmedAt)
+	if changed && state.config.Limits.SlowStart.inForce() {
+		state.publishing.changed = true
+	}
+}
+
 // updateMembership passes the registered instances on.
 func (slowStarting *slowStarting) updateMembership(now, freshness time.Duration, instances []catalog.Instance) {
 	members := make([]slowstart.Member, 0, len(instances))
--- a/core/entry/slowstart_test.go
+++ b/core/entry/slowstart_test.go
@@ -166,6 +166,58 @@
 	})
 }
 
+// TestSharesAfterAGap guards against shares that an instance still uses after its knowledge was too old, or after a
+// suspension, by a table from before.
+func TestSharesAfterAGap(t *testing.T) {
+	c := qt.New(t)
+	hasShares := func(cluster *cluster, node *node) bool {
+		shares := 0
+		for _, server := range node.table.Servers {
+			shares += server.SlowStartShare
+		}
+		return shares > 0 && cluster.now <= node.table.SharesUntil
+	}
+	start := func(c *qt.C) (*cluster, *node) {
+		cluster := startColdCluster(c, 5)
+		cluster.checkFor(12 * time.Second)
+		cluster.addColdServers(50, 9)
+		cluster.checkFor(time.Second)
+		for _, node := range cluster.orderedNodes() {
+			if hasShares(cluster, node) {
+				return cluster, node
+			}
+		}
+		c.Fatal("no instance has a share")
+		return nil, nil
+	}
+	c.Run("end at once after a long suspension", func(c *qt.C) {
+		cluster, node := start(c)
+		cluster.reduce(node, Resumed{At: cluster.now, Suspended: _drainLimit})
+		c.Assert(hasShares(cluster, node), qt.IsFalse)
+	})
+	c.Run("end earlier after a short suspension", func(c *qt.C) {
+		cluster, node := start(c)
+		const suspended = 500 * time.Millisecond
+		for range 2 {
+			until := node.table.SharesUntil
+			cluster.reduce(node, Resumed{At: cluster.now, Suspended: suspended})
+			c.Assert(node.table.SharesUntil <= until-suspended, qt.IsTrue,
+				qt.Commentf("%v, %v before", node.table.SharesUntil, until))
+		}
+	})
+	c.Run("are not used at the first confirmations after a gap", func(c *qt.C) {
+		cluster, node := start(c)
+		at := cluster.now + _drainLimit + time.Second
+		for range 3 {
+			cluster.now = at
+			node.state.confirm(at)
+			cluster.reduce(node, Tick{At: at})
+			c.Assert(hasShares(cluster, node), qt.IsFalse, qt.Commentf("%v", at))
+			at += time.Second
+		}
+	})
+}
+
 // TestReopenedDomain guards against flows without limit to servers of a failure domain whose evacuation was withdrawn,
 // and whose registrations do not show their slow start yet.
 func TestReopenedDomain(t *testing.T) {
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -187,7 +187,7 @@
 	if !state.stopping {
 		state.sendUpdatesIfDue()
 	}
-	state.slowStarting.membership.Confirm(state.now, state.slowStartFreshness(), state.reading.confirmedAt)
+	state.confirmMembership()
 	state.publishIfChanged()
 	state.noteStaleness()
 	ready := !state.stopping && state.informed() && !state.isolated()
@@ -256,6 +256,8 @@
 	state.reading.failures, state.reading.retryAt = 0, 0
 	state.reading.active, state.relaying.active = false, false
 	state.relaying.connectedAt = state.now
+	// Until another table is published, the traffic thread counts the age of its table without the suspension.
+	state.publishing.changed = true
 	state.fleet.ResetLastSeen()
 	if !state.reading.pending {
 		state.listStore()
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -150,7 +150,7 @@
 		return loads.Measure(state.now, server.Cookie)
 	})
 	table.ConfirmedAt, table.LiveInstances = state.reading.confirmedAt, state.fleet.CountLive(state.now)
-	table.SharesUntil = state.slowStarting.membership.ClaimsUntil(state.slowStartFreshness())
+	table.SharesUntil = state.slowStarting.membership.ClaimsUntil(state.now, state.slowStartFreshness())
 	return table
 }
 
--- a/core/slowstart/fleet_test.go
+++ b/core/slowstart/fleet_test.go
@@ -141,7 +141,7 @@
 	for index, server := range world.servers {
 		instance.claims[index] = instance.membership.Owns(world.now, _freshness, server, owners)
 	}
-	instance.claimsUntil = instance.membership.ClaimsUntil(_freshness)
+	instance.claimsUntil = instance.membership.ClaimsUntil(world.now, _freshness)
 }
 
 // members returns the registered instances.
--- a/core/slowstart/membership.go
+++ b/core/slowstart/membership.go
@@ -56,6 +56,8 @@
 	// freshSince is since when the knowledge has been confirmed without a gap, and confirmedAt the last confirmation.
 	freshSince  time.Duration
 	confirmedAt time.Duration
+	// stale says that the knowledge was too old at the last event.
+	stale bool
 }
 
 type member struct {
@@ -113,12 +115,15 @@
 }
 
 // Confirm records when the knowledge was last confirmed to be the newest. It is to be called after every event, as a
-// time without confirmation voids all claims.
-func (membership *Membership) Confirm(now, freshness, confirmedAt time.Duration) {
-	if now-min(membership.confirmedAt, confirmedAt) > freshness && !membership.config.Disabled.Freshness {
+// time without confirmation voids all claims. It reports whether such a time has begun or ended.
+func (membership *Membership) Confirm(now, freshness, confirmedAt time.Duration) bool {
+	stale := now-min(membership.confirmedAt, confirmedAt) > freshness && !membership.config.Disabled.Freshness
+	if stale {
 		membership.freshSince = now
 	}
-	membership.confirmedAt = confirmedAt
+	changed := stale != membership.stale
+	membership.confirmedAt, membership.stale = confirmedAt, stale
+	return changed
 }
 
 // ClaimsFrom returns since when the instance may use the shares for which it ranks high enough.
@@ -126,8 +131,11 @@
 	return max(membership.registeredSince, membership.freshSince) + membership.claimDelay(freshness)
 }
 
-// ClaimsUntil returns until when it may use them unless a further confirmation arrives.
-func (membership *Membership) ClaimsUntil(freshness time.Duration) time.Duration {
+// ClaimsUntil returns until when it may use them unless a further confirmation arrives, or zero if it may not.
+func (membership *Membership) ClaimsUntil(now, freshness time.Duration) time.Duration {
+	if !membership.registered || now < membership.ClaimsFrom(freshness) {
+		return 0
+	}
 	if membership.config.Disabled.Freshness {
 		return math.MaxInt64
 	}
@@ -166,8 +174,7 @@
 // Owns reports whether the instance has one of the shares of a server, given the hash of the server's ID. The claim
 // also ends at ClaimsUntil.
 func (membership *Membership) Owns(now, freshness time.Duration, server uint64, owners int) bool {
-	if !membership.registered || owners <= 0 || now < membership.ClaimsFrom(freshness) ||
-		now > membership.ClaimsUntil(freshness) {
+	if owners <= 0 || now > membership.ClaimsUntil(now, freshness) {
 		return false
 	}
 	own := score(xxhash.Sum64String(string(membership.config.Self.Name)), server)
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -73,16 +73,17 @@
 	daemon.metrics.handlingTime.RecordDuration(daemon.clock.now() - now)
 }
 
-// decide decides on a packet and returns the table that the decision rests on. It drops a packet in place of a
-// reset after a suspension that the control loop has not noticed: the table is older than it seems then. The client
-// retransmits the packet.
+// decide decides on a packet and returns the table that the decision rests on. After a suspension that the control loop
+// has not noticed, it drops a packet in place of a reset, or an opening packet to a server in slow start: the table is
+// older than it seems then. The client retransmits the packet.
 func (daemon *Daemon) decide(now time.Duration, header packet.Header) (steer.Decision, *steer.Table) {
 	daemon.mu.Lock()
 	decision := daemon.steering.Decide(now, header)
 	table := daemon.steering.Table()
 	daemon.lastPacket = now
 	daemon.mu.Unlock()
-	if decision.Action == steer.Reset && daemon.clock.justSuspended() {
+	cold := decision.Action == steer.Forward && header.Opens() && now < decision.Server.ColdUntil
+	if (decision.Action == steer.Reset || cold) && daemon.clock.justSuspended() {
 		decision.Action, decision.Reason = steer.Drop, steer.Stale
 	}
 	return decision, table
--- a/experiment/load/slowstart.go
+++ b/experiment/load/slowstart.go
@@ -81,7 +81,7 @@
 			known.SlowStartShare = split.Share
 		}
 	})
-	table.SharesUntil = membership.ClaimsUntil(_claimFreshness)
+	table.SharesUntil = membership.ClaimsUntil(now, _claimFreshness)
 	table.LimitSlowStarts()
 	return table
 }
