Evacuate failure domains in the testbed, the tour and the soak

Cause: evacuations were tested with instances in virtual time only.

Change: the testbed's operator evacuates failure domains and withdraws that, and repeats both after a restore of the store. The tour has a step in which every request must be served. The soak has the fault EvacuateDomain, which lasts longer than the bound of 5 s, and checks that no flow opens in the failure domain after it. Only disturbances of the store and paused instances excuse a late flow; killed instances and single ones without the store do not, as the others tell them. standin/metastore needs no change: it holds any key.

--- a/soak/check.go
+++ b/soak/check.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"azureshift/core/id"
 	"azureshift/testbed"
 )
 
@@ -15,7 +16,7 @@
 	_drainLimit = 3 * time.Second
 )
 
-var _domains = []string{"morbegno", "tirano", "chiavenna"}
+var _domains = []id.Domain{"morbegno", "tirano", "chiavenna"}
 
 // Report is the result of a soak.
 type Report struct {
@@ -62,6 +63,7 @@
 		soak.checkAnswer(report, attempt)
 		soak.checkReset(report, attempt)
 		soak.checkDrain(report, attempt)
+		soak.checkEvacuation(report, attempt)
 		if attempt.StartedAt.After(faultsEnded.Add(_recoveryLimit)) && attempt.Outcome != testbed.Served {
 			report.addViolation("%s: %s %s, %s after the last fault ended", formatTime(attempt.EndedAt),
 				attempt.Request, attempt.Outcome, attempt.StartedAt.Sub(faultsEnded).Round(time.Millisecond))
--- a/soak/faultlog.go
+++ b/soak/faultlog.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"azureshift/core/id"
 )
 
 // faultLog records when faults and planned work affected backend servers, the store and instances.
@@ -11,9 +13,13 @@
 	servers map[string][]interval
 	// drainedAt holds when the drain of a server was acknowledged, which counts only if the store was undisturbed.
 	drainedAt map[string]time.Time
-	// instances holds the disturbances of any instance, store those of the whole store.
+	// instances holds the disturbances of any instance, pauses those in which it was paused, store those of the whole
+	// store.
 	instances []interval
+	pauses    []interval
 	store     []interval
+	// evacuations holds when each failure domain was evacuated.
+	evacuations map[id.Domain][]interval
 }
 
 // interval is the time between the begin and end of a disturbance. The end is zero while it lasts.
@@ -22,6 +28,7 @@
 func newFaultLog() *faultLog {
 	return &faultLog{
 		servers: make(map[string][]interval), drainedAt: make(map[string]time.Time),
+		evacuations: make(map[id.Domain][]interval),
 	}
 }
 
@@ -44,6 +51,9 @@
 // disturbInstance records the start of a disturbance of an instance and returns a function that records its end.
 func (faultLog *faultLog) disturbInstance() func() { return faultLog.begin(&faultLog.instances) }
 
+// pauseInstance records the start of a pause of an instance and returns a function that records its end.
+func (faultLog *faultLog) pauseInstance() func() { return faultLog.begin(&faultLog.pauses) }
+
 func (faultLog *faultLog) begin(intervals *[]interval) func() {
 	faultLog.mu.Lock()
 	defer faultLog.mu.Unlock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,6 +65,7 @@
 		{"RestartTargetClockAhead", restartTarget(_clockStep)},
 		{"ReplaceTarget", replaceTarget},
 		{"DrainTarget", drainTarget},
+		{"EvacuateDomain", evacuateDomain},
 		{"CutTarget", targetNetworkFault(proxy.Fault{CutToTarget: true, CutFromTarget: true})},
 		{"TargetFar", targetNetworkFault(proxy.Fault{Delay: 30 * time.Millisecond})},
 		{"Configure", changeConfiguration},
@@ -144,12 +145,13 @@
 	if instance == nil {
 		return nil
 	}
-	endDisturbance := soak.faultLog.disturbInstance()
+	endDisturbance, endPause := soak.faultLog.disturbInstance(), soak.faultLog.pauseInstance()
 	process := instance.Process().(*testbed.ChildProcess)
 	process.Pause()
 	return func() {
 		process.Resume()
 		endDisturbance()
+		endPause()
 		soak.unlock(instance)
 	}
 }
@@ -214,7 +216,7 @@
 }
 
 // restoreStore takes a copy of the store, and brings the store back from it when the fault ends, after a short outage.
-// The operator then repeats the configuration.
+// The operator then repeats the configuration and the evacuations.
 func restoreStore(soak *soak, _ *rand.Rand) func() {
 	if !soak.lock(soak.deployment.Store) {
 		return nil
@@ -226,7 +228,7 @@
 		time.Sleep(_restoreOutage)
 		soak.deployment.Store.Restore(copied)
 		soak.deployment.Store.SetFaults(metastore.Faults{})
-		soak.deployment.RepeatConfiguration()
+		soak.deployment.RepeatRequests()
 		endDisturbance()
 		soak.unlock(soak.deployment.Store)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,7 +13,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"azureshift/core/id"
 	"azureshift/testbed"
 )
 
@@ -72,8 +71,9 @@
 	defer func() { _ = logs.Close() }()
 	config.Launcher.Output = logs
 	deployment, err := testbed.New(testbed.Config{
-		Domains: []id.Domain{"morbegno", "tirano", "chiavenna"}, Instances: config.Instances, Targets: config.Targets,
+		Domains: _domains, Instances: config.Instances, Targets: config.Targets,
 		Slots: _slots, ServiceTime: _serviceTime, Launcher: config.Launcher, Seed: config.Seed, Grace: _grace, Proxied: true,
+		Evacuation: _evacuationLimit,
 	})
 	if err != nil {
 		return Report{}, err
--- a/testbed/operator.go
+++ b/testbed/operator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 
+	"azureshift/core/id"
 	"azureshift/core/packet"
 )
 
@@ -20,9 +21,38 @@
 	testbed.writeConfig()
 }
 
-// RepeatConfiguration publishes the latest configuration again, as after a restore of the store that has lost it.
-func (testbed *Testbed) RepeatConfiguration() {
+// Evacuate requests that no new flow be sent to the servers of a failure domain.
+func (testbed *Testbed) Evacuate(domain id.Domain) { testbed.setEvacuated(domain, true) }
+
+// Reopen withdraws the evacuation of a failure domain.
+func (testbed *Testbed) Reopen(domain id.Domain) { testbed.setEvacuated(domain, false) }
+
+func (testbed *Testbed) setEvacuated(domain id.Domain, evacuated bool) {
+	testbed.mu.Lock()
+	defer testbed.mu.Unlock()
+	testbed.evacuated[domain] = evacuated
+	testbed.writeEvacuations()
+}
+
+// writeEvacuations makes the keys of the store match the requests.
+func (testbed *Testbed) writeEvacuations() {
+	for domain, requested := range testbed.evacuated {
+		key := "op/evacuate/" + string(domain)
+		if requested {
+			testbed.Store.Put(key, nil, 0)
+		} else {
+			testbed.Store.Delete(key)
+		}
+	}
+}
+
+// RepeatRequests publishes the latest configuration and the evacuations again, as after a restore of the store that has
+// lost them, and withdraws the evacuations that came back with it.
+func (testbed *Testbed) RepeatRequests() {
 	testbed.writeConfig()
+	testbed.mu.Lock()
+	defer testbed.mu.Unlock()
+	testbed.writeEvacuations()
 }
 
 // Version returns the version of the latest configuration.
--- a/testbed/server.go
+++ b/testbed/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"azureshift/core/id"
 	"azureshift/standin/flows"
 )
 
@@ -86,7 +87,7 @@
 	testbed.mu.Lock()
 	defer testbed.mu.Unlock()
 	testbed.proxies[config.RegisteredAddress] = serverProxy
-	testbed.services[server.ID()] = config.Service
+	testbed.started[server.ID()] = config
 	testbed.targets = append(testbed.targets, server)
 	return server, nil
 }
@@ -95,7 +96,14 @@
 func (testbed *Testbed) ServiceOf(server string) string {
 	testbed.mu.Lock()
 	defer testbed.mu.Unlock()
-	return testbed.services[server]
+	return testbed.started[server].Service
+}
+
+// DomainOf returns the failure domain of the server with the given id, even if the server has ended.
+func (testbed *Testbed) DomainOf(server string) id.Domain {
+	testbed.mu.Lock()
+	defer testbed.mu.Unlock()
+	return id.Domain(testbed.started[server].Domain)
 }
 
 // Remove removes a server that has ended from the list of targets.
--- a/testbed/testbed.go
+++ b/testbed/testbed.go
@@ -83,6 +83,8 @@
 	Seed        uint64
 	// Grace limits the duration of a planned stop of an instance.
 	Grace time.Duration
+	// Evacuation is the time within which an evacuated failure domain gets no new flows; zero disables evacuations.
+	Evacuation time.Duration
 	// Proxied puts a proxy between each instance and the store, and in front of each backend server.
 	Proxied bool
 }
@@ -108,8 +110,10 @@
 	// proxies holds the proxies in front of backend servers by address. A server that takes over an address reuses its
 	// proxy.
 	proxies map[netip.AddrPort]*proxy.Proxy
-	// services maps server ids to service names and keeps servers that have ended.
-	services map[string]string
+	// started holds the configurations of servers by id and keeps servers that have ended.
+	started map[string]flows.TargetConfig
+	// evacuated holds the failure domains that the operator evacuates.
+	evacuated map[id.Domain]bool
 }
 
 // Instance is an entry instance of a testbed.
@@ -145,7 +149,8 @@
 		cancel:     cancel,
 		version:    1,
 		proxies:    make(map[netip.AddrPort]*proxy.Proxy),
-		services:   make(map[string]string),
+		started:    make(map[string]flows.TargetConfig),
+		evacuated:  make(map[id.Domain]bool),
 	}
 	if err := testbed.start(); err != nil {
 		testbed.Close()
@@ -256,7 +261,9 @@
 		Metrics:   settings.Listener{Listen: at(_metricsPort)},
 		Relay:     settings.Relay{Listen: at(_relayPort), Seeds: testbed.seeds()},
 		Store:     settings.Store{Address: store},
-		Bounds:    settings.Bounds{Grace: settings.Duration(testbed.config.Grace)},
+		Bounds: settings.Bounds{
+			Grace: settings.Duration(testbed.config.Grace), Evacuation: settings.Duration(testbed.config.Evacuation),
+		},
 	}}
 	testbed.mu.Lock()
 	testbed.instances = append(testbed.instances, instance)
--- a/testbed/testbed_test.go
+++ b/testbed/testbed_test.go
@@ -30,7 +30,7 @@
 func startTestbed(c *qt.C) *Testbed {
 	testbed, err := New(Config{
 		Domains: []id.Domain{"morbegno", "tirano"}, Instances: 3, Targets: 4, Slots: 3, ServiceTime: 5 * time.Millisecond,
-		Launcher: InProcessLauncher{Output: failureLog(c)}, Seed: 1, Grace: 6 * time.Second,
+		Launcher: InProcessLauncher{Output: failureLog(c)}, Seed: 1, Grace: 6 * time.Second, Evacuation: _evacuationLimit,
 	})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(testbed.Close)
--- a/tour/steps.go
+++ b/tour/steps.go
@@ -10,8 +10,8 @@
 // Steps returns all steps in the order of a tour: planned work and the store outage first, then failures.
 func Steps() []Step {
 	return []Step{
-		&noFault{}, &configurationChange{}, &plannedRestarts{}, &serverDrain{}, &serverJoin{}, &storeOutage{},
-		&instanceKill{}, &serverCrash{}, &addressReuse{},
+		&noFault{}, &configurationChange{}, &plannedRestarts{}, &serverDrain{}, &serverJoin{}, &evacuation{},
+		&storeOutage{}, &instanceKill{}, &serverCrash{}, &addressReuse{},
 	}
 }
 
@@ -39,6 +39,7 @@
 	_ Step = (*plannedRestarts)(nil)
 	_ Step = (*serverDrain)(nil)
 	_ Step = (*serverJoin)(nil)
+	_ Step = (*evacuation)(nil)
 	_ Step = (*storeOutage)(nil)
 	_ Step = (*instanceKill)(nil)
 	_ Step = (*serverCrash)(nil)
@@ -130,6 +131,23 @@
 	return err
 }
 
+// evacuation stops new flows to the servers of one failure domain and allows them again.
+type evacuation struct{ lossless }
+
+func (*evacuation) String() string { return "evacuation of a failure domain" }
+
+// Begin implements Step.
+func (*evacuation) Begin(testbed *testbed.Testbed) error {
+	testbed.Evacuate(_domains[0])
+	return nil
+}
+
+// End implements Step.
+func (*evacuation) End(testbed *testbed.Testbed) error {
+	testbed.Reopen(_domains[0])
+	return nil
+}
+
 // storeOutage makes the store unresponsive and lets every registration expire meanwhile.
 type storeOutage struct{ lossless }
 
--- a/tour/tour.go
+++ b/tour/tour.go
@@ -43,6 +43,7 @@
 	_slots       = 3
 	_serviceTime = 8 * time.Millisecond
 	_grace       = 6 * time.Second
+	_evacuation  = 5 * time.Second
 	// _recoveryTime is the time after a step within which the deployment must have recovered.
 	_recoveryTime = 3 * time.Second
 )
@@ -53,7 +54,7 @@
 func Run(config Config) (Report, error) {
 	deployment, err := testbed.New(testbed.Config{
 		Domains: _domains, Instances: _instances, Targets: _targets, Slots: _slots, ServiceTime: _serviceTime,
-		Launcher: config.Launcher, Seed: config.Seed, Grace: _grace,
+		Launcher: config.Launcher, Seed: config.Seed, Grace: _grace, Evacuation: _evacuation,
 	})
 	if err != nil {
 		return Report{}, err
--- a/tour/tour_test.go
+++ b/tour/tour_test.go
@@ -16,8 +16,9 @@
 func TestShortTour(t *testing.T) {
 	c := qt.New(t)
 	report, err := Run(Config{
-		StepDuration: time.Second, Steps: []Step{&noFault{}, &configurationChange{}, &storeOutage{}, &serverCrash{}},
-		Launcher: testbed.InProcessLauncher{Output: io.Discard}, Seed: 1,
+		StepDuration: time.Second,
+		Steps:        []Step{&noFault{}, &configurationChange{}, &evacuation{}, &storeOutage{}, &serverCrash{}},
+		Launcher:     testbed.InProcessLauncher{Output: io.Discard}, Seed: 1,
 	})
 	c.Assert(err, qt.IsNil)
 	c.Assert(report.Violations, qt.HasLen, 0)
