--- a/core/steer/explain_test.go
+++ b/core/steer/explain_test.go
@@ -58,11 +58,11 @@
 	c := qt.New(t)
 	slow, draining, evacuated := server(2, "a"), server(5, "a"), evacuatedServer(6, "c")
 	slow.ServiceTime, draining.Condition = 10*time.Second, Leaving
-	usual := []*measuredServer{server(1, "a"), server(3, "a"), server(4, "b")}
-	for _, server := range usual {
-		server.ServiceTime = 50 * time.Millisecond
+	servers := []*measuredServer{server(1, "a"), server(3, "a"), server(4, "b"), slow, draining, evacuated}
+	for _, usual := range servers[:3] {
+		usual.ServiceTime = 50 * time.Millisecond
 	}
-	trial := newSteering(tableOf(append(usual, slow, draining, evacuated)...)).Trial()
+	trial := newSteering(tableOf(servers...)).Trial()
 	c.Assert(trial.Domains(0, "chiosco"), qt.DeepEquals, []Domain{
 		{Domain: "a", Servers: 3, Slow: 1}, {Domain: "b", Servers: 1},
 	})
