--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -377,6 +377,9 @@
 		return catalog.evacuate(interval, entry.Evacuated, entry.Revision)
 	case entry.Reopened != "":
 		return catalog.reopen(interval, entry.Reopened, entry.Revision)
+	default:
+		// An instance of another version may have dropped a field that it does not know.
+		return false
 	}
 	return true
 }
--- a/core/catalog/evacuation_test.go
+++ b/core/catalog/evacuation_test.go
@@ -78,6 +78,11 @@
 		started.ApplyListing(Interval{}, catalog.Entries(), catalog.Revision())
 		assertEvacuated(c, started, "a")
 	})
+	c.Run("are not seen in entries whose fields an older instance has dropped", func(c *qt.C) {
+		changed, ok := newCatalog().ApplyChanges(Interval{}, 0, []Entry{{Revision: 1}}, 1)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(changed, qt.HasLen, 0)
+	})
 	c.Run("follow a restored store", func(c *qt.C) {
 		catalog := newCatalog()
 		catalog.ApplyListing(Interval{}, []Entry{
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -53,6 +53,8 @@
 				{Revision: 5, MissingServer: "i-1"},
 				{Revision: 5, Instance: &_self},
 				{Revision: 5, MissingInstance: "edge-tirano-1"},
+				{Revision: 5, Evacuated: "tirano"},
+				{Revision: 5, Reopened: "morbegno"},
 			},
 			Delta: &route.Delta{
 				From: 1, To: 2, Upserted: []route.Route{_route}, Removed: []packet.Endpoint{_route.Endpoint},
