Admit flows by the demand of the whole fleet

Cause: each instance extrapolates the demand of all from its own few requests (about ten a second of each of 137 instances). It refuses flows where clients move or a failure domain is evacuated although servers have room, and admits different shares in different failure domains.

Change: with Placement.FleetAdmission and sums of at most 2.5 s, the admitted share of a priority is what the servers can run besides more urgent requests and requests on open flows, over the flows that open. Sums are corrected by the instance's own counts as far as chance does not explain the difference. The refused flows of one client are spread over its ports by multiples of the golden ratio.

--- a/core/steer/admission.go
+++ b/core/steer/admission.go
@@ -120,7 +120,13 @@
 
 // target returns the utilisation up to which flows are admitted, given the setpoint of the queues.
 func (forecast *forecast) target(setpoint float64) float64 {
-	deviation := 1 - forecast.queued/setpoint
+	return utilisationTarget(forecast.queued, setpoint)
+}
+
+// utilisationTarget returns the utilisation up to which flows are admitted, given the ratio of requests in progress to
+// the number that the servers run at once, and the setpoint of this ratio.
+func utilisationTarget(queued, setpoint float64) float64 {
+	deviation := 1 - queued/setpoint
 	if deviation > 0 {
 		return _utilisationTarget + _idleGain*deviation
 	}
--- a/core/steer/decision.go
+++ b/core/steer/decision.go
@@ -106,6 +106,9 @@
 	// flow of their own. Both are set if they decided the action.
 	RefusedShare       float64
 	SingleRequestShare float64
+	// FleetDemand says that the demand of all instances decided the action, and DemandAge is the age of its sums.
+	FleetDemand bool
+	DemandAge   time.Duration
 	// Latency is the time to the first byte of the answer that the packet acknowledges first, and Kind the kind of its
 	// request.
 	Latency time.Duration
--- a/core/steer/demand.go
+++ b/core/steer/demand.go
@@ -58,6 +58,8 @@
 	handshake time.Duration
 	// forecast is the last forecast of the load.
 	forecast forecast
+	// own is what this instance reports to others.
+	own ownDemand
 }
 
 // demandCounts are counts of new flows and of requests, with exponential decay.
@@ -132,6 +134,7 @@
 func (demand *demand) countRequest(now time.Duration, configured *route.Route) {
 	counts := demand.counts(now, configured)
 	counts.requested++
+	demand.own.countRequest(now, configured)
 	demand.sinceReport++
 	if counts.persistent() {
 		demand.onPersistent++
--- a/core/steer/estimate.go
+++ b/core/steer/estimate.go
@@ -81,6 +81,8 @@
 	// account for.
 	answers  float64
 	answered float64
+	// outside is the number of answers in the latest reports by servers of the service that take no new flows.
+	outside float64
 }
 
 // expectedLatency estimates how long a new request takes, given the ratio of requests in progress to the number
--- /dev/null
+++ b/core/steer/fleetadmission.go
@@ -0,0 +1,196 @@
+package steer
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"azureshift/core/packet"
+	"azureshift/core/route"
+)
+
+const (
+	// _growthDeviations and _fallDeviations are the numbers of standard deviations of a random count by which an
+	// instance's recent requests must exceed or fall short of the expected ones to correct the sums. An instance sees a
+	// few requests in a quarter of a second. The second is smaller, as flows must not be refused while servers have room.
+	_growthDeviations = 1
+	_fallDeviations   = 0.5
+	// _attemptStep is the step between the numbers of successive attempts of a client, in fractions of 2^64: the golden
+	// ratio.
+	_attemptStep = 0x9E3779B97F4A7C15
+)
+
+// fleetForecast is the demand for the servers of a service by priority, in parts of what they can run.
+type fleetForecast struct {
+	table *Table
+	at    time.Duration
+	// open is the load by requests on flows that are open, which cannot be refused, and opening the load by the first
+	// requests on new flows, including refused ones.
+	open    [_priorityLevels]float64
+	opening [_priorityLevels]float64
+	// queued is the ratio of requests in progress to the number that the servers can run at once.
+	queued float64
+	// age is the age of the sums; known says that there are sums that are not too old.
+	age   time.Duration
+	known bool
+}
+
+// forecastFleet returns the forecast for a pool by the sums of all instances, or one that is not known without fresh
+// sums. It answers overload by any mix of priorities: the sums are the same at all instances, so all admit the same
+// share.
+func (steering *Steering) forecastFleet(now time.Duration, pool *Pool, demand *demand) *fleetForecast {
+	cached := &demand.own.admission
+	if cached.table == steering.table && now-cached.at < _forecastPeriod {
+		return cached
+	}
+	*cached = fleetForecast{table: steering.table, at: now}
+	sums := steering.table.Demand.fresh(now, pool.Service)
+	totals := steering.table.totals(pool)
+	if sums == nil || totals.capacity == 0 {
+		return cached
+	}
+	cached.known, cached.age = true, now-sums.Fleet.At
+	cached.queued = totals.queued()
+	work := demand.withoutHandshake(steering.table.TypicalServiceTime(pool))
+	outside := outsideShare(sums, totals)
+	perCount := work.Seconds() / ReportInterval.Seconds() / totals.capacity
+	share := demand.own.share() * sums.domainShare()
+	for level := range cached.open {
+		counts := sums.Fleet.levels[level]
+		open, opening := demand.own.recent[level].recent(now)
+		load := perCount * sums.Fleet.relativeWork(level)
+		cached.open[level] = load * open.correct(counts.open(), share) * (1 - outside)
+		cached.opening[level] = load * opening.correct(counts.opening(), share)
+	}
+	return cached
+}
+
+// sumOutside sums the answers of the servers that take no new flows, for each service.
+func (table *Table) sumOutside() {
+	for _, server := range table.Servers {
+		if pool, ok := table.Pools[server.Service]; ok && !server.inPool {
+			table.reportedTotals[pool.typicalIndex].outside += table.Measure(server).Answers
+		}
+	}
+}
+
+// outsideShare returns the share of the requests on open flows that go to servers which take no new flows. It answers
+// an evacuation, in which servers keep their flows: these take no part of what the others can run.
+func outsideShare(sums *ServiceDemand, totals poolTotals) float64 {
+	open := 0
+	for level := range sums.Fleet.levels {
+		open += sums.Fleet.levels[level].open()
+	}
+	return clamp(totals.outside / max(float64(open), 1))
+}
+
+// domainShare returns the part of all requests that the clients of the failure domain send.
+func (serviceDemand *ServiceDemand) domainShare() float64 {
+	return serviceDemand.Domain.offered() / max(serviceDemand.Fleet.offered(), 1)
+}
+
+// open returns the number of requests on flows that were open before.
+func (counts DemandCounts) open() int {
+	return max(counts.Requests-counts.Opened, 0)
+}
+
+// opening returns the number of first requests on new flows and of refused flows.
+func (counts DemandCounts) opening() int {
+	return counts.Opened + counts.Refused
+}
+
+// relativeWork returns the ratio of the latency of a priority to that of all. Where queues are long the ratio is closer
+// to 1 than that of the work, as all wait alike.
+func (sum *DemandSum) relativeWork(level int) float64 {
+	var all DemandCounts
+	for other := range sum.levels {
+		all = all.Add(sum.levels[other])
+	}
+	counts := sum.levels[level]
+	if counts.Answers == 0 || counts.Latency == 0 || all.Latency == 0 {
+		return 1
+	}
+	return float64(counts.Latency) / float64(all.Latency)
+}
+
+// total returns the load by all requests.
+func (fleetForecast *fleetForecast) total() float64 {
+	total := 0.0
+	for level := range fleetForecast.open {
+		total += fleetForecast.open[level] + fleetForecast.opening[level]
+	}
+	return total
+}
+
+// admittedShare returns the share of new flows of a priority that the servers can run besides more urgent requests and
+// the requests on open flows of the same priority, given the utilisation that is aimed at. Less urgent requests do not
+// count, as urgent ones go first.
+func (fleetForecast *fleetForecast) admittedShare(level int, target float64) float64 {
+	available := target - fleetForecast.open[level]
+	for urgent := range level {
+		available -= fleetForecast.open[urgent] + fleetForecast.opening[urgent]
+	}
+	opening := fleetForecast.opening[level]
+	switch {
+	case available <= 0:
+		return 0
+	case opening <= available:
+		return 1
+	}
+	return available / opening
+}
+
+// shedByFleet returns the refusal of a new flow by the demand of all instances, with the share of such flows to refuse.
+// It reports false if there are no fresh sums.
+func (steering *Steering) shedByFleet(
+	now time.Duration, configured *route.Route, pool *Pool, demand *demand, limit time.Duration, hasHeadroom bool,
+) (Decision, bool) {
+	forecast := steering.forecastFleet(now, pool, demand)
+	if !forecast.known {
+		return Decision{}, false
+	}
+	typical := steering.table.TypicalServiceTime(pool)
+	setpoint := max(_queueSetpoint*float64(limit)/float64(typical), 1)
+	target := utilisationTarget(forecast.queued, setpoint)
+	decision := Decision{
+		Action: Reset, Reason: Overloaded, LatencyLimit: limit, FleetDemand: true, DemandAge: forecast.age,
+		SingleRequestShare:  demand.counts(now, configured).singleRequestShare(),
+		ExpectedLatency:     expectedLatency(typical, forecast.queued),
+		ExpectedUtilisation: forecast.total(),
+		RefusedShare:        1 - forecast.admittedShare(priorityLevel(configured.Priority), target),
+	}
+	if !hasHeadroom {
+		decision.ExpectedLatency = expectedLatency(typical, steering.summarize(pool).queued())
+		byQueue := float64(decision.ExpectedLatency)/float64(limit) - _shedStart - _forecastTolerance
+		decision.RefusedShare = max(decision.RefusedShare, clamp(byQueue/(_shedFull-_shedStart)))
+	}
+	return decision, true
+}
+
+// isRefused decides on a new flow by the share of such flows to refuse. By the demand of all instances, it answers
+// clients that open flows again and again: the flows that are refused are spread evenly over the attempts of a client.
+func isRefused(header packet.Header, hash uint64, decision Decision) bool {
+	if !decision.FleetDemand {
+		return hashFraction(hash, _shedSalt) < decision.RefusedShare
+	}
+	return attemptFraction(header) < decision.RefusedShare
+}
+
+// attemptFraction returns a number from 0 to 1 that depends on the client's address and port and on the route. Clients
+// take one port after the other, so the numbers of a client's successive attempts are multiples of the golden ratio,
+// which are spread evenly, whichever instances the attempts reach. The numbers of ports that are taken at random are
+// spread as by a hash.
+func attemptFraction(header packet.Header) float64 {
+	number := clientHash(header) + uint64(header.Flow.Client.Port)*_attemptStep
+	return float64(number) / (1 << 64)
+}
+
+// clientHash hashes the address of a client and the route.
+func clientHash(header packet.Header) uint64 {
+	var raw [10]byte
+	copy(raw[0:], header.Flow.Client.Address[:])
+	copy(raw[4:], header.Flow.Service.Address[:])
+	binary.BigEndian.PutUint16(raw[8:], header.Flow.Service.Port)
+	return xxhash.Sum64(raw[:])
+}
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -57,9 +57,10 @@
 	}
 	server, hasHeadroom := steering.findHeadroom(pool, server, demand, hash, limit, persistent)
 	decision := steering.shedDecision(now, configured, pool, demand, limit, hasHeadroom)
-	if hashFraction(hash, _shedSalt) < decision.RefusedShare {
+	if isRefused(header, hash, decision) {
 		steering.countersOf(server.Cookie, now).refused++
 		counts.refused++
+		demand.own.countRefused(now, configured)
 		decision.Server = server
 		return decision
 	}
--- a/core/steer/shed.go
+++ b/core/steer/shed.go
@@ -41,6 +41,11 @@
 func (steering *Steering) shedDecision(
 	now time.Duration, configured *route.Route, pool *Pool, demand *demand, limit time.Duration, hasHeadroom bool,
 ) Decision {
+	if steering.table.Placement.FleetAdmission {
+		if decision, ok := steering.shedByFleet(now, configured, pool, demand, limit, hasHeadroom); ok {
+			return decision
+		}
+	}
 	typical := steering.table.TypicalServiceTime(pool)
 	forecast := steering.forecastLoad(now, pool, demand)
 	queued := forecast.queued
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -49,6 +49,8 @@
 	reportedInProgress float64
 	// inProgress is the number of pending requests and half-open flows.
 	inProgress int
+	// demandReportedAt is when the demand was last reported.
+	demandReportedAt time.Duration
 	// unknownSince holds when packets for unknown servers were first seen.
 	unknownSince map[packet.Cookie]time.Duration
 }
@@ -115,7 +117,11 @@
 		decision.StallDetected = steering.recordUnansweredOpening(now, tracked)
 	}
 	steering.addFlow(now, header, decision.Server)
-	steering.demandOf(decision.Server.Service).countOpened(now, configured)
+	demand := steering.demandOf(decision.Server.Service)
+	demand.countOpened(now, configured)
+	if !isRetransmission {
+		demand.own.countOpened(now, configured)
+	}
 	return decision
 }
 
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -56,6 +56,8 @@
 	// Warm says that the server has completed its slow start.
 	Warm bool
 
+	// inPool says that the server takes new flows.
+	inPool bool
 	// measureIndex is the server's index in the table's measures.
 	measureIndex int
 }
@@ -127,6 +129,8 @@
 	// LiveInstances is the number of live instances in this instance's failure domain, including itself.
 	LiveInstances int
 	Placement     Placement
+	// Demand is the demand that all instances reported.
+	Demand FleetDemand
 
 	measures []Measure
 	// typicalServiceTimes holds the typical service time of each pool, and reportedTotals the totals of its measures.
@@ -146,6 +150,7 @@
 
 // AddToPool makes an added server available to new flows.
 func (table *Table) AddToPool(server *Server) {
+	server.inPool = true
 	if table.Pools == nil {
 		table.Pools = make(map[id.Service]*Pool)
 	}
@@ -202,6 +207,7 @@
 		updated.typicalServiceTimes[pool.typicalIndex] = baselines.update(now, pool.Service, serviceTimes)
 		updated.reportedTotals[pool.typicalIndex] = updated.sumMeasures(pool)
 	}
+	updated.sumOutside()
 	return &updated
 }
 
--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -81,11 +81,14 @@
 	}
 	if retransmits == 0 {
 		simulation.lastPort++
+		if simulation.config.DistinctClients {
+			simulation.lastPort = simulation.nextPort(client{zone: request.zone, user: request.user})
+		}
 		request.flow = &flow{
 			zone: request.zone, kind: request.kind, instance: simulation.instanceOf(request.zone, simulation.lastPort),
 			header: packet.Header{
 				Flow: packet.Flow{
-					Client:  packet.Endpoint{Address: [4]byte{100, 64, byte(request.zone), 1}, Port: simulation.lastPort},
+					Client:  packet.Endpoint{Address: simulation.addressOf(request), Port: simulation.lastPort},
 					Service: simulation.endpointOf(request.kind),
 				},
 				Flags: packet.SYN, Sequence: simulation.random.Uint32(),
@@ -97,6 +100,7 @@
 	simulation.clock.After(_clientDelay, func() {
 		server := opening.instance.policy.Place(simulation.clock.Now(), opening.header)
 		if server == nil {
+			simulation.result.values.recordRefusal(simulation)
 			simulation.clock.After(_clientDelay, func() { simulation.retry(request) })
 			return
 		}
@@ -119,6 +123,24 @@
 	})
 }
 
+// nextPort returns the next port of a client. Clients begin with any port and take one after the other.
+func (simulation *simulation) nextPort(client client) uint16 {
+	last, ok := simulation.lastPorts[client]
+	if !ok {
+		last = uint16(simulation.random.Uint32())
+	}
+	simulation.lastPorts[client] = last + 1
+	return last + 1
+}
+
+// addressOf returns the address of the client of a request.
+func (simulation *simulation) addressOf(request *request) [4]byte {
+	if !simulation.config.DistinctClients {
+		return [4]byte{100, 64, byte(request.zone), 1}
+	}
+	return [4]byte{100, 64 + byte(request.zone), byte(request.user >> 8), byte(request.user)}
+}
+
 // instanceOf returns the instance to which the router sends a flow. It depends on the client's port alone.
 func (simulation *simulation) instanceOf(zone int, port uint16) *instance {
 	instances := simulation.zones[zone].instances
@@ -157,6 +179,7 @@
 		Sequence: flow.nextSequence, Acknowledged: flow.acked, Length: bytes,
 	}
 	flow.nextSequence += uint32(bytes)
+	flow.instance = simulation.instanceOf(flow.zone, flow.header.Flow.Client.Port)
 	flow.instance.policy.Observe(simulation.clock.Now(), header)
 }
 
@@ -248,7 +271,7 @@
 
 func (simulation *simulation) freeServer() *server {
 	for _, server := range simulation.servers {
-		usable := !server.dead && !simulation.draining[simulation.cookieOf(server)] &&
+		usable := !server.dead && !simulation.evacuated[server.zone] && !simulation.draining[simulation.cookieOf(server)] &&
 			server.slowdown <= 1 && server.rejectShare == 0
 		if usable && server.running < simulation.config.Slots {
 			return server
--- a/experiment/load/config.go
+++ b/experiment/load/config.go
@@ -58,6 +58,12 @@
 	// UserRate is the number of requests per second of one user. Each user reuses flows of its own, so that a burst of
 	// users opens flows. If it is zero, all clients of a failure domain share their flows.
 	UserRate float64
+	// DistinctClients gives each user an address of its own, and makes it take one port after the other.
+	DistinctClients bool
+	// FleetAdmission bases the refusal of flows on the demand that all instances report.
+	FleetAdmission bool
+	// withDemand passes the demand to all instances even if it decides nothing.
+	withDemand bool
 	// MaxRetries is how often a client repeats a request that was refused or rejected.
 	MaxRetries int
 	// ExchangeInterval is the interval at which instances exchange the server loads that they observed. LoadsPerExchange
--- a/experiment/load/result.go
+++ b/experiment/load/result.go
@@ -29,6 +29,7 @@
 	// Imbalance is the busy time of the busiest server divided by the mean of all servers.
 	Imbalance float64
 
+	values   values
 	bySecond map[int]*tally
 	byZone   map[int]*tally
 	byKind   map[string]*tally
@@ -90,6 +91,7 @@
 }
 
 func (result *Result) recordEnd(simulation *simulation, request *request, answered bool) {
+	result.values.recordEnd(simulation, request, answered)
 	tallies := result.talliesOf(simulation, request)
 	if tallies == nil {
 		return
--- a/experiment/load/simulation.go
+++ b/experiment/load/simulation.go
@@ -36,6 +36,12 @@
 	instances    []*instance
 	zones        []*zone
 	routes       map[packet.Endpoint]*route.Route
+	// evacuated holds the failure domains whose servers get no new flows.
+	evacuated map[int]bool
+	// newerDemand and olderDemand are the last two reports of the demand that have arrived.
+	newerDemand, olderDemand demandReport
+	// lastPorts holds the last port of each client.
+	lastPorts map[client]uint16
 	// windowStart is the index of the first load in the next exchange, if an exchange does not include all loads.
 	windowStart int
 	result      Result
@@ -98,6 +104,7 @@
 		config: config, policyName: policyName, random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		byCookie: make(map[packet.Cookie]*server), reported: make(map[packet.Cookie]int),
 		knownCrashed: make(map[packet.Cookie]bool), draining: make(map[packet.Cookie]bool),
+		evacuated: make(map[int]bool), lastPorts: make(map[client]uint16),
 		routes: make(map[packet.Endpoint]*route.Route),
 	}
 	for index := range config.Kinds {
@@ -177,7 +184,9 @@
 	exchanged := simulation.nextWindow(slices.SortedFunc(maps.Values(sums), func(left, right fleet.Load) int {
 		return cmp.Compare(left.Cookie, right.Cookie)
 	}))
+	demand := simulation.collectDemand()
 	simulation.clock.After(simulation.config.ExchangeDelay, func() {
+		simulation.receiveDemand(demand)
 		for _, instance := range simulation.instances {
 			instance.loads.Update(simulation.clock.Now(), exchanged)
 		}
@@ -213,7 +222,9 @@
 	now := simulation.clock.Now()
 	table := &steer.Table{
 		Version: 1, Routes: simulation.routes, IdleTimeout: 15 * time.Second, ConfirmedAt: now, AllRegistered: true,
-		LiveInstances: simulation.zones[zoneIndex].Instances,
+		LiveInstances: len(simulation.zones[zoneIndex].instances),
+		Placement:     steer.Placement{FleetAdmission: simulation.config.FleetAdmission},
+		Demand:        simulation.fleetDemand(zoneIndex),
 	}
 	for number, server := range simulation.servers {
 		cookie := packet.Cookie(number + 1)
@@ -228,6 +239,7 @@
 			known.Condition = steer.Dead
 		case simulation.draining[cookie]:
 			known.Condition = steer.Leaving
+		case simulation.evacuated[server.zone]:
 		default:
 			table.AddToPool(known)
 		}
