Sum the demand of the fleet up and down the tree

Cause: admission by the demand of all instances needs it at each of them.

Change: reports and updates carry the requests, opened and refused flows and latency of each service and priority with their age, up to the relay and down again beside the loads, which get less room in such a message. A relay joins its failure domain's counts of the time at which those of the others were made, so that clients that move count once. Of two relays of a failure domain the one heard last counts. Nothing is sent where the settings do not enable it, and older instances ignore the fields.

--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -72,9 +72,10 @@
 	version        route.Version
 	generation     int
 	ticks          int
-	// reduceTime is the time spent in Reduce, and observations what the traffic thread reports.
+	// reduceTime is the time spent in Reduce, and observations and demands what the traffic thread reports.
 	reduceTime   time.Duration
 	observations []steer.Observation
+	demands      []steer.Demand
 	// notes are what the instance logged, and resets the servers whose flows it reset.
 	notes  []Note
 	resets []packet.Cookie
@@ -142,7 +143,7 @@
 		if node.alive && node.generation == generation {
 			cluster.reduce(node, Tick{At: cluster.now})
 			if node.ticks++; node.ticks%_ticksPerObservation == 0 {
-				cluster.reduce(node, Observed{At: cluster.now, Observations: node.observations})
+				cluster.reduce(node, Observed{At: cluster.now, Observations: node.observations, Demands: node.demands})
 			}
 			cluster.scheduleTick(node, generation)
 		}
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -106,10 +106,12 @@
 // instance.
 type PacketForUnknownServer struct{ At time.Duration }
 
-// Observed holds the traffic thread's observations of backend servers since its last report.
+// Observed holds what the traffic thread observed of backend servers and requests since its last report.
 type Observed struct {
 	At           time.Duration
 	Observations []steer.Observation
+	// Demands are the requests that the instance counted.
+	Demands []steer.Demand
 }
 
 // Probed is the result of a probe of a backend server.
--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -97,10 +97,12 @@
 func (state *State) sendUpdates(leaving bool) {
 	relaying := &state.relaying
 	relaying.updatedAt = state.now
-	loads := state.totals()
-	loads, relaying.offset = window(loads, relaying.offset)
+	state.sumDemand()
+	var shared sharedState
+	shared.demands, state.demanding.offset = demandWindow(state.totalDemand(), state.demanding.offset)
+	shared.loads, relaying.offset = window(state.totals(), relaying.offset, loadsBeside(shared.demands))
 	for _, receiver := range state.fleet.Receivers(state.now, relaying.active) {
-		state.sendUpdate(receiver, loads, leaving)
+		state.sendUpdate(receiver, shared, leaving)
 	}
 	relays := state.fleet.Relays(state.now)
 	due := state.now-relaying.remoteUpdatedAt >= max(_remoteInterval, time.Duration(len(relays))*_remoteIntervalPerRelay)
@@ -112,27 +114,35 @@
 // sendRemoteUpdates sends an Update to the relays of other failure domains and, if this instance is not its failure
 // domain's relay, to the instance above it. Loads make up most of a message and are included only when due.
 func (state *State) sendRemoteUpdates(relays []fleet.Receiver, leaving, due bool) {
-	var loads []fleet.Load
+	var shared sharedState
 	if !state.relaying.active {
 		if upstream, ok := state.fleet.Upstream(state.now); ok {
-			state.sendUpdate(state.fleet.Receiver(upstream.Name), nil, leaving)
+			state.sendUpdate(state.fleet.Receiver(upstream.Name), shared, leaving)
 		}
 	} else if due {
 		state.relaying.remoteUpdatedAt = state.now
-		loads = state.fleet.SumLoads(state.now, state.relaying.loads, false)
-		loads, state.relaying.remoteOffset = window(loads, state.relaying.remoteOffset)
+		demands, loads := state.domainDemand(), state.fleet.SumLoads(state.now, state.relaying.loads, false)
+		shared.demands, state.demanding.remoteOffset = demandWindow(demands, state.demanding.remoteOffset)
+		shared.loads, state.relaying.remoteOffset = window(
+			loads, state.relaying.remoteOffset, loadsBeside(shared.demands))
 	}
 	for _, receiver := range relays {
-		state.sendUpdate(receiver, loads, leaving)
+		state.sendUpdate(receiver, shared, leaving)
 	}
 }
 
-func (state *State) sendUpdate(receiver fleet.Receiver, loads []fleet.Load, leaving bool) {
+// sharedState is what instances observed, as an update carries it.
+type sharedState struct {
+	loads   []fleet.Load
+	demands []fleet.Demand
+}
+
+func (state *State) sendUpdate(receiver fleet.Receiver, shared sharedState, leaving bool) {
 	update := state.updateFor(receiver)
 	update.Leaving = leaving
 	if len(update.Entries) == 0 && update.Delta == nil {
 		// Changes need the space; the next message without changes includes loads.
-		update.Loads = loads
+		update.Loads, update.Demands = shared.loads, shared.demands
 	}
 	state.emit(Send{To: receiver.Address, Message: update})
 }
@@ -195,13 +205,13 @@
 	return update
 }
 
-// window returns the loads from offset on that fit into one message, and the offset for the next message.
-func window(loads []fleet.Load, offset int) ([]fleet.Load, int) {
-	if len(loads) <= _maxLoads {
+// window returns the loads from offset on, at most as many as the limit, and the offset for the next message.
+func window(loads []fleet.Load, offset, limit int) ([]fleet.Load, int) {
+	if len(loads) <= limit {
 		return loads, 0
 	}
 	offset %= len(loads)
-	end := min(offset+_maxLoads, len(loads))
+	end := min(offset+limit, len(loads))
 	return loads[offset:end], end
 }
 
@@ -222,6 +232,7 @@
 	}
 	if update.From.Domain == state.config.Self.Domain && !state.relaying.active {
 		state.addTotals(update.Loads)
+		state.addDemands(update.Demands)
 	}
 	if entries, ok := state.catalog.ApplyChanges(state.interval(), update.Base, update.Entries, update.Revision); ok {
 		state.noteAndApply(entries)
@@ -281,29 +292,33 @@
 	state.relaying.reportedAt = state.now
 	if ok {
 		loads := state.fleet.SumLoads(state.now, state.relaying.loads, false)
+		demands := state.domainDemand()
+		demands, state.demanding.reportOffset = demandWindow(demands, state.demanding.reportOffset)
 		for range min(len(loads)/_maxLoads+1, _maxReportMessages) {
 			var batch []fleet.Load
-			batch, state.relaying.reportOffset = window(loads, state.relaying.reportOffset)
-			state.sendReport(upstream, batch)
+			batch, state.relaying.reportOffset = window(loads, state.relaying.reportOffset, loadsBeside(demands))
+			state.sendReport(upstream, sharedState{loads: batch, demands: demands})
+			demands = nil
 		}
 		return
 	}
 	for _, instance := range state.fleet.Ancestors(state.now) {
-		state.sendReport(instance, nil)
+		state.sendReport(instance, sharedState{})
 	}
 	if state.now-state.startedAt < _wideHelloPeriod {
 		for _, receiver := range state.fleet.Receivers(state.now, true) {
-			state.sendReport(receiver.Instance, nil)
+			state.sendReport(receiver.Instance, sharedState{})
 		}
 	}
 }
 
-func (state *State) sendReport(receiver catalog.Instance, loads []fleet.Load) {
+func (state *State) sendReport(receiver catalog.Instance, shared sharedState) {
 	state.emit(Send{To: receiver.Address, Message: fleet.Report{
 		From:     state.config.Self,
 		Revision: state.catalog.Revision(),
 		Config:   state.catalog.Routes().Version,
-		Loads:    loads,
+		Loads:    shared.loads,
+		Demands:  shared.demands,
 	}})
 }
 
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -30,6 +30,7 @@
 	configReading configReading
 	registration  registration
 	relaying      relaying
+	demanding     demanding
 	publishing    publishing
 
 	evidenceQueue evidenceQueue
@@ -134,6 +135,7 @@
 		state.handlePacketForUnknownServer()
 	case Observed:
 		state.now = event.At
+		state.observeDemand(event.Demands)
 		state.handleObserved(event.Observations)
 	case Probed:
 		state.now = event.At
--- a/core/entry/table.go
+++ b/core/entry/table.go
@@ -148,6 +148,7 @@
 	table := built.WithMeasures(state.now, &state.publishing.serviceTimes, func(server *steer.Server) steer.Measure {
 		return loads.Measure(state.now, server.Cookie)
 	})
+	table.Demand = state.fleetDemand()
 	table.ConfirmedAt, table.LiveInstances = state.reading.confirmedAt, state.fleet.CountLive(state.now)
 	return table
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -55,6 +55,8 @@
 	reported      bool
 	// loads holds the peer's last load for each server.
 	loads map[packet.Cookie]receivedLoad
+	// demands holds the peer's last demand for each service and priority.
+	demands map[DemandKey]receivedDemand
 }
 
 // receivedLoad is a load and the time at which it was received.
@@ -115,7 +117,7 @@
 		return nil
 	}
 	if from.Incarnation != peer.Incarnation {
-		peer.reported, peer.loads = false, nil
+		peer.reported, peer.loads, peer.demands = false, nil, nil
 	}
 	peer.Instance = from
 	peer.lastMessage = now
@@ -142,6 +144,7 @@
 	peer.revision, peer.configVersion, peer.reported = update.Revision, update.Config, true
 	if peer.Domain != state.config.Self.Domain {
 		peer.storeLoads(now, update.Loads)
+		peer.storeDemands(now, update.Demands)
 	}
 	return true
 }
@@ -156,6 +159,7 @@
 	peer.lastReport = now
 	if peer.Domain == state.config.Self.Domain {
 		peer.storeLoads(now, report.Loads)
+		peer.storeDemands(now, report.Demands)
 	}
 }
 
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -44,6 +44,8 @@
 	StableFor time.Duration `cbor:"8,keyasint"`
 	// Loads are totals over the sender's failure domain if the receiver is in another one, else over all of them.
 	Loads []Load `cbor:"9,keyasint,omitempty"`
+	// Demands are totals over the same failure domains as Loads.
+	Demands []Demand `cbor:"15,keyasint,omitempty"`
 }
 
 // Load is the load of a backend server as one or more instances observed it.
@@ -66,6 +68,8 @@
 	Revision store.Revision   `cbor:"2,keyasint"`
 	Loads    []Load           `cbor:"3,keyasint,omitempty"`
 	Config   route.Version    `cbor:"4,keyasint"`
+	// Demands include those reported to the sender.
+	Demands []Demand `cbor:"5,keyasint,omitempty"`
 }
 
 // Evidence lists backend servers that instances found dead or unreachable. The receiver verifies it by probes of its
--- a/core/steer/fleetadmission.go
+++ b/core/steer/fleetadmission.go
@@ -50,16 +50,16 @@
 	if sums == nil || totals.capacity == 0 {
 		return cached
 	}
-	cached.known, cached.age = true, now-sums.Fleet.At
+	cached.known, cached.age = true, now-sums.At
 	cached.queued = totals.queued()
 	work := demand.withoutHandshake(steering.table.TypicalServiceTime(pool))
 	outside := outsideShare(sums, totals)
 	perCount := work.Seconds() / ReportInterval.Seconds() / totals.capacity
 	share := demand.own.share() * sums.domainShare()
 	for level := range cached.open {
-		counts := sums.Fleet.levels[level]
+		counts := sums.levels[level]
 		open, opening := demand.own.recent[level].recent(now)
-		load := perCount * sums.Fleet.relativeWork(level)
+		load := perCount * sums.relativeWork(level)
 		cached.open[level] = load * open.correct(counts.open(), share) * (1 - outside)
 		cached.opening[level] = load * opening.correct(counts.opening(), share)
 	}
@@ -79,15 +79,15 @@
 // an evacuation, in which servers keep their flows: these take no part of what the others can run.
 func outsideShare(sums *ServiceDemand, totals poolTotals) float64 {
 	open := 0
-	for level := range sums.Fleet.levels {
-		open += sums.Fleet.levels[level].open()
+	for level := range sums.levels {
+		open += sums.levels[level].open()
 	}
 	return clamp(totals.outside / max(float64(open), 1))
 }
 
 // domainShare returns the part of all requests that the clients of the failure domain send.
 func (serviceDemand *ServiceDemand) domainShare() float64 {
-	return serviceDemand.Domain.offered() / max(serviceDemand.Fleet.offered(), 1)
+	return float64(serviceDemand.domainOffered) / float64(max(serviceDemand.Offered(), 1))
 }
 
 // open returns the number of requests on flows that were open before.
@@ -102,12 +102,12 @@
 
 // relativeWork returns the ratio of the latency of a priority to that of all. Where queues are long the ratio is closer
 // to 1 than that of the work, as all wait alike.
-func (sum *DemandSum) relativeWork(level int) float64 {
+func (serviceDemand *ServiceDemand) relativeWork(level int) float64 {
 	var all DemandCounts
-	for other := range sum.levels {
-		all = all.Add(sum.levels[other])
+	for other := range serviceDemand.levels {
+		all = all.Add(serviceDemand.levels[other])
 	}
-	counts := sum.levels[level]
+	counts := serviceDemand.levels[level]
 	if counts.Answers == 0 || counts.Latency == 0 || all.Latency == 0 {
 		return 1
 	}
--- a/core/steer/fleetdemand.go
+++ b/core/steer/fleetdemand.go
@@ -54,55 +54,59 @@
 	Services map[id.Service]*ServiceDemand
 }
 
-// ServiceDemand is the demand for one service: of all instances, and of those in the instance's own failure domain.
+// ServiceDemand is the demand of all instances for one service, by priority.
 type ServiceDemand struct {
-	Fleet  DemandSum
-	Domain DemandSum
-}
-
-// DemandSum is the demand of several instances by priority.
-type DemandSum struct {
 	// At is the time of the oldest of the counts.
 	At     time.Duration
 	levels [_priorityLevels]DemandCounts
-	known  bool
+	// domainOffered is the part of the offered requests that comes from clients of the instance's failure domain.
+	domainOffered int
 }
 
-// Add adds counts of a priority that were made at a time.
-func (sum *DemandSum) Add(at time.Duration, priority route.Priority, counts DemandCounts) {
-	level := priorityLevel(priority)
-	sum.levels[level] = sum.levels[level].Add(counts)
-	if !sum.known || at < sum.At {
-		sum.At = at
+// Add adds counts of a service and a priority that were made at a time, and the number of offered requests among them
+// that came from clients of the instance's failure domain.
+func (fleetDemand *FleetDemand) Add(at time.Duration, demand Demand, domainOffered int) {
+	if fleetDemand.Services == nil {
+		fleetDemand.Services = make(map[id.Service]*ServiceDemand)
+	}
+	sums, ok := fleetDemand.Services[demand.Service]
+	if !ok {
+		sums = &ServiceDemand{At: at}
+		fleetDemand.Services[demand.Service] = sums
 	}
-	sum.known = true
+	level := priorityLevel(demand.Priority)
+	sums.levels[level] = sums.levels[level].Add(demand.DemandCounts)
+	sums.domainOffered += domainOffered
+	sums.At = min(sums.At, at)
 }
 
 // Counts returns the counts of a priority.
-func (sum *DemandSum) Counts(priority route.Priority) DemandCounts {
-	return sum.levels[priorityLevel(priority)]
+func (serviceDemand *ServiceDemand) Counts(priority route.Priority) DemandCounts {
+	return serviceDemand.levels[priorityLevel(priority)]
 }
 
-// offered returns the number of requests per second that clients wanted to send.
-func (sum *DemandSum) offered() float64 {
+// Offered returns the number of requests that clients wanted to send in a report interval.
+func (serviceDemand *ServiceDemand) Offered() int {
 	offered := 0
-	for level := range sum.levels {
-		offered += sum.levels[level].Offered()
+	for level := range serviceDemand.levels {
+		offered += serviceDemand.levels[level].Offered()
 	}
-	return float64(offered) / ReportInterval.Seconds()
+	return offered
 }
 
 // ownDemand holds this instance's counts of the requests of one service, for its reports and for the comparison with
 // the sums of all instances.
 type ownDemand struct {
 	interval [_priorityLevels]DemandCounts
-	recent   [_priorityLevels]recentDemand
+	// reports is the number of reports in which the priority is included although it may have no requests.
+	reports [_priorityLevels]int
+	recent  [_priorityLevels]recentDemand
 	// ownRate and domainRate are moving averages of the requests per second that clients wanted to send through this
 	// instance and through all instances of its failure domain.
 	ownRate    float64
 	domainRate float64
-	// history holds the last reports, the newest last. The sums are older than the newest report, so they are compared with
-	// the report of their time.
+	// history holds the last reports, the newest last. The sums are older than the newest report, so they are compared
+	// with the report of their time.
 	history   [_reportHistory]ownReport
 	admission fleetForecast
 }
@@ -188,8 +192,9 @@
 		return
 	}
 	weight := 1 - decayFactor(interval, _rateTimeConstant)
-	ownDemand.ownRate += weight * (ownDemand.rateAt(sums.Domain.At) - ownDemand.ownRate)
-	ownDemand.domainRate += weight * (sums.Domain.offered() - ownDemand.domainRate)
+	ownDemand.ownRate += weight * (ownDemand.rateAt(sums.At) - ownDemand.ownRate)
+	domain := float64(sums.domainOffered) / ReportInterval.Seconds()
+	ownDemand.domainRate += weight * (domain - ownDemand.domainRate)
 }
 
 // rateAt returns the rate of the report closest to a time.
@@ -213,7 +218,7 @@
 }
 
 // ReportDemand returns what this instance counted of each service and priority since the last call, and resets the
-// counters. Services and priorities without requests are left out.
+// counters. Services and priorities that have had no requests for some reports are left out.
 func (steering *Steering) ReportDemand(now time.Duration) []Demand {
 	interval := now - steering.demandReportedAt
 	steering.demandReportedAt = now
@@ -224,6 +229,10 @@
 	for service, demand := range steering.demands {
 		for level, counts := range demand.own.interval {
 			if counts != (DemandCounts{}) {
+				demand.own.reports[level] = _reportHistory
+			}
+			if demand.own.reports[level] > 0 {
+				demand.own.reports[level]--
 				reported = append(reported, Demand{Service: service, Priority: route.Priority(level), DemandCounts: counts})
 			}
 		}
@@ -242,10 +251,7 @@
 // fresh returns the demand for a service, or nil if it is unknown or too old.
 func (fleetDemand *FleetDemand) fresh(now time.Duration, service id.Service) *ServiceDemand {
 	sums, ok := fleetDemand.Services[service]
-	if !ok || !sums.Fleet.known || !sums.Domain.known {
-		return nil
-	}
-	if now-sums.Fleet.At > _maxDemandAge || now-sums.Domain.At > _maxDemandAge {
+	if !ok || now-sums.At > _maxDemandAge {
 		return nil
 	}
 	return sums
--- a/entry/control.go
+++ b/entry/control.go
@@ -51,7 +51,7 @@
 			daemon.detectSuspension(now)
 			if now-lastReport >= steer.ReportInterval {
 				lastReport = now
-				daemon.reduce(core.Observed{At: now, Observations: daemon.observe(now)})
+				daemon.reduce(daemon.observe(now))
 			}
 			if now-lastMaintenance >= _maintenancePeriod {
 				lastMaintenance = now
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -150,11 +150,11 @@
 	}
 }
 
-// observe returns what packets showed of each backend server since the last call.
-func (daemon *Daemon) observe(now time.Duration) []steer.Observation {
+// observe returns what packets showed of each backend server and of the demand since the last call.
+func (daemon *Daemon) observe(now time.Duration) core.Observed {
 	daemon.mu.Lock()
 	defer daemon.mu.Unlock()
-	return daemon.steering.Report(now)
+	return core.Observed{At: now, Observations: daemon.steering.Report(now), Demands: daemon.steering.ReportDemand(now)}
 }
 
 func isClosed(err error) bool {
--- a/experiment/load/demand.go
+++ b/experiment/load/demand.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"azureshift/core/id"
 	"azureshift/core/steer"
 )
 
@@ -44,19 +43,18 @@
 
 // fleetDemand returns the sums that the instances of a failure domain know. All parts are of the same time.
 func (simulation *simulation) fleetDemand(zone int) steer.FleetDemand {
-	sums := steer.FleetDemand{Services: make(map[id.Service]*steer.ServiceDemand)}
+	var sums steer.FleetDemand
 	used := simulation.config.FleetAdmission || simulation.config.withDemand
 	if !used || simulation.olderDemand.byZone == nil {
 		return sums
 	}
-	sums.Services[_service] = &steer.ServiceDemand{}
-	for other := range simulation.zones {
-		known := simulation.olderDemand
-		for _, demand := range known.byZone[other] {
-			sums.Services[demand.Service].Fleet.Add(known.at, demand.Priority, demand.DemandCounts)
+	for other, demands := range simulation.olderDemand.byZone {
+		for _, demand := range demands {
+			domainOffered := 0
 			if other == zone {
-				sums.Services[demand.Service].Domain.Add(known.at, demand.Priority, demand.DemandCounts)
+				domainOffered = demand.Offered()
 			}
+			sums.Add(simulation.olderDemand.at, demand, domainOffered)
 		}
 	}
 	return sums
