State the demand of the fleet and the admitted share

Cause: an operator could not see what refusals by the demand of all instances rest on.

Change: gauges of the demand, its age and the admitted share by service and priority; the line FlowRefused states the age of the sums.

--- a/core/steer/fleetadmission.go
+++ b/core/steer/fleetadmission.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"azureshift/core/id"
 	"azureshift/core/packet"
 	"azureshift/core/route"
 )
@@ -165,6 +166,8 @@
 		byQueue := float64(decision.ExpectedLatency)/float64(limit) - _shedStart - _forecastTolerance
 		decision.RefusedShare = max(decision.RefusedShare, clamp(byQueue/(_shedFull-_shedStart)))
 	}
+	level := priorityLevel(configured.Priority)
+	demand.own.shares[level] = lastShare{share: 1 - decision.RefusedShare, decidedAt: now}
 	return decision, true
 }
 
@@ -194,3 +197,55 @@
 	binary.BigEndian.PutUint16(raw[8:], header.Flow.Service.Port)
 	return xxhash.Sum64(raw[:])
 }
+
+// Admission is the demand for one service at one priority with what is admitted of it.
+type Admission struct {
+	Service  id.Service
+	Priority route.Priority
+	// Offered is the number of requests per second that all clients wanted to send, and Age the age of this figure.
+	Offered float64
+	Age     time.Duration
+	// AdmittedShare is the share of new flows that this instance admitted lately, from 0 to 1.
+	AdmittedShare float64
+}
+
+// lastShare is the admitted share of new flows that was decided last.
+type lastShare struct {
+	share     float64
+	decidedAt time.Duration
+}
+
+// _shareRetention is how long the share that was decided last is stated.
+const _shareRetention = 2 * time.Second
+
+// Admissions returns the demand of all instances with what is admitted of it, in no particular order. It returns nothing
+// where decisions do not rest on fresh sums.
+func (steering *Steering) Admissions(now time.Duration) []Admission {
+	if !steering.table.Placement.FleetAdmission {
+		return nil
+	}
+	var admissions []Admission
+	for service := range steering.table.Demand.Services {
+		sums := steering.table.Demand.fresh(now, service)
+		if sums == nil {
+			continue
+		}
+		for level, counts := range sums.levels {
+			if counts == (DemandCounts{}) {
+				continue
+			}
+			admission := Admission{
+				Service: service, Priority: route.Priority(level), Age: now - sums.At, AdmittedShare: 1,
+				Offered: float64(counts.Offered()) / ReportInterval.Seconds(),
+			}
+			if demand, ok := steering.demands[service]; ok {
+				last := demand.own.shares[level]
+				if last.decidedAt > 0 && now-last.decidedAt <= _shareRetention {
+					admission.AdmittedShare = last.share
+				}
+			}
+			admissions = append(admissions, admission)
+		}
+	}
+	return admissions
+}
--- a/core/steer/fleetdemand.go
+++ b/core/steer/fleetdemand.go
@@ -107,8 +107,10 @@
 	domainRate float64
 	// history holds the last reports, the newest last. The sums are older than the newest report, so they are compared
 	// with the report of their time.
-	history   [_reportHistory]ownReport
+	history [_reportHistory]ownReport
+	// admission is the last forecast of the load, and shares holds the admitted shares that were decided last.
 	admission fleetForecast
+	shares    [_priorityLevels]lastShare
 }
 
 // _reportHistory is the number of reports that are kept. They cover _maxDemandAge.
--- a/entry/control.go
+++ b/entry/control.go
@@ -199,7 +199,9 @@
 	daemon.mu.Lock()
 	daemon.steering.Expire(now)
 	flows, untracked := daemon.steering.FlowCount(), daemon.steering.TakeUntracked()
+	admissions := daemon.steering.Admissions(now)
 	daemon.mu.Unlock()
+	daemon.metrics.admissions.update(admissions)
 	if untracked > 0 {
 		daemon.metrics.packetsUntracked.Inc(int64(untracked))
 		daemon.log.Log(event.FlowsUntracked, event.Fields{"Packets": untracked, "Flows": flows})
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -127,6 +127,9 @@
 		fields["ExpectedUtilisation"] = decision.ExpectedUtilisation
 		fields["SingleShare"] = decision.SingleRequestShare
 	}
+	if decision.FleetDemand {
+		fields["DemandAgeMs"] = decision.DemandAge.Milliseconds()
+	}
 	if header.Opens() {
 		fields["Copy"] = header.Acknowledged
 	} else {
