--- a/core/entry/cost_test.go
+++ b/core/entry/cost_test.go
@@ -12,6 +12,7 @@
 	"azureshift/core/fleet"
 	"azureshift/core/id"
 	"azureshift/core/packet"
+	"azureshift/core/route"
 	"azureshift/core/steer"
 )
 
@@ -38,16 +39,35 @@
 func TestControlCost(t *testing.T) {
 	c := qt.New(t)
 	c.Run("is bounded in a deployment of the given size", func(c *qt.C) {
-		checkCost(c, *_costDomains, *_costInstances, *_costServers)
+		checkCost(c, *_costDomains, *_costInstances, *_costServers, nil)
+	})
+	c.Run("is bounded with the demand of three services", func(c *qt.C) {
+		checkCost(c, *_costDomains, *_costInstances, *_costServers, sampleDemands(3))
 	})
 	c.Run("is bounded in many failure domains", func(c *qt.C) {
 		const domains, instances, servers = 9, 8, 18
-		checkCost(c, domains, instances, servers)
+		checkCost(c, domains, instances, servers, nil)
+		checkCost(c, domains, instances, servers, sampleDemands(3))
 	})
 }
 
-// checkCost checks the cost of a cluster with the given numbers of instances and servers in each failure domain.
-func checkCost(c *qt.C, domains, instances, servers int) {
+// sampleDemands returns the demand of an instance for some services at two priorities each.
+func sampleDemands(services int) []steer.Demand {
+	demands := make([]steer.Demand, 0, 2*services)
+	for number := range services {
+		for priority := range 2 {
+			demands = append(demands, steer.Demand{
+				Service: id.Service(fmt.Sprintf("service-%d", number)), Priority: route.Priority(priority + 1),
+				DemandCounts: steer.DemandCounts{Requests: 10, Opened: 2, Refused: 3, Answers: 9, Latency: 45 * time.Millisecond},
+			})
+		}
+	}
+	return demands
+}
+
+// checkCost checks the cost of a cluster with the given numbers of instances and servers in each failure domain. The
+// demand is reported if there is any.
+func checkCost(c *qt.C, domains, instances, servers int, demands []steer.Demand) {
 	cluster := newCluster(c, 40)
 	cluster.configure(3)
 	number := 0
@@ -61,6 +81,11 @@
 			cluster.addServer(domain, number)
 		}
 	}
+	for _, node := range cluster.nodes {
+		limits := node.state.config.Limits
+		limits.Placement.FleetAdmission = len(demands) > 0
+		cluster.reduce(node, LimitsChanged{At: cluster.now, Limits: limits})
+	}
 	cluster.runFor(10 * time.Second)
 	costs := make(map[id.Instance]*cost)
 	cluster.onSend = func(node *node, effect Send) {
@@ -73,7 +98,7 @@
 	for _, node := range cluster.nodes {
 		costs[node.self.Name] = &cost{}
 		node.reduceTime = 0
-		node.observations = sampleObservations(number)
+		node.observations, node.demands = sampleObservations(number), demands
 	}
 	calls := cluster.store.calls
 	cluster.runFor(_costSpan)
--- a/core/entry/demand.go
+++ b/core/entry/demand.go
@@ -66,6 +66,12 @@
 	state.sumDemand()
 }
 
+// forgetDemand drops all sums after a suspension, as their ages do not count it.
+func (state *State) forgetDemand() {
+	state.demanding = demanding{}
+	state.publishing.refreshed = true
+}
+
 // sumDemand calculates the demand over all instances if this instance is the relay. Counts of other failure domains
 // arrive later, so those of this one are taken from the same time: where clients move between failure domains, they
 // must not count twice.
--- a/core/entry/demand_test.go
+++ b/core/entry/demand_test.go
@@ -112,6 +112,14 @@
 			c.Check(node.table.Demand.Services["chiosco"].Counts(1).Requests, qt.Equals, 10*instances)
 		}
 	})
+	c.Run("sums do not outlast a suspension, which their ages do not count", func(c *qt.C) {
+		cluster := demandCluster(c, true)
+		resumed := cluster.orderedNodes()[3]
+		cluster.reduce(resumed, Resumed{At: cluster.now, Suspended: 10 * time.Second})
+		c.Assert(resumed.state.fleetDemand().Services, qt.HasLen, 0)
+		cluster.runFor(6 * time.Second)
+		assertDemand(c, cluster, 36)
+	})
 	c.Run("sums expire at an instance that hears nobody", func(c *qt.C) {
 		cluster := demandCluster(c, true)
 		cluster.loss = 1
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -256,6 +256,7 @@
 	state.reading.active, state.relaying.active = false, false
 	state.relaying.connectedAt = state.now
 	state.fleet.ResetLastSeen()
+	state.forgetDemand()
 	if !state.reading.pending {
 		state.listStore()
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -314,10 +314,11 @@
 }
 
 // ResetLastSeen clears the times of the last messages after a pause of this instance, during which it could receive
-// none.
+// none, and drops the demand that they reported, as its age does not count the pause.
 func (state *State) ResetLastSeen() {
 	for _, peer := range state.peers {
 		peer.lastMessage, peer.lastRelayUpdate, peer.lastConnected, peer.lastReport = 0, 0, 0, 0
+		peer.demands = nil
 	}
 }
 
--- a/experiment/load/highload_test.go
+++ b/experiment/load/highload_test.go
@@ -77,8 +77,9 @@
 }
 
 func highLoads() []highLoad {
-	var found []highLoad
-	for _, pattern := range highLoadPatterns() {
+	patterns := highLoadPatterns()
+	found := make([]highLoad, 0, 2*len(patterns))
+	for _, pattern := range patterns {
 		found = append(found, highLoad{Pattern: pattern}, highLoad{Pattern: atCapacity(_busyDay, pattern), onBusyDay: true})
 	}
 	return found
