--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -30,6 +30,7 @@
 	configReading configReading
 	registration  registration
 	relaying      relaying
+	demanding     demanding
 	publishing    publishing
 	slowStarting  slowStarting
 
@@ -136,6 +137,7 @@
 		state.handlePacketForUnknownServer()
 	case Observed:
 		state.now = event.At
+		state.observeDemand(event.Demands)
 		state.handleObserved(event.Observations)
 	case Probed:
 		state.now = event.At
@@ -259,6 +261,7 @@
 	// Until another table is published, the traffic thread counts the age of its table without the suspension.
 	state.publishing.changed = true
 	state.fleet.ResetLastSeen()
+	state.forgetDemand()
 	if !state.reading.pending {
 		state.listStore()
 	}
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -58,9 +58,10 @@
 	}
 	server, hasHeadroom := steering.findHeadroom(candidates, server, demand, hash, limit, persistent)
 	decision := steering.shedDecision(now, configured, pool, demand, limit, hasHeadroom)
-	if hashFraction(hash, _shedSalt) < decision.RefusedShare {
+	if isRefused(header, hash, decision) {
 		steering.countersOf(server.Cookie, now).refused++
 		counts.refused++
+		demand.own.countRefused(now, classOf(configured.Priority, !persistent))
 		decision.Server = server
 		return decision
 	}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -62,6 +62,8 @@
 	ColdUntil      time.Duration
 	SlowStartShare int
 
+	// inPool says that the server takes new flows.
+	inPool bool
 	// measureIndex is the server's index in the table's measures.
 	measureIndex int
 }
@@ -147,6 +149,8 @@
 
 	// evacuatedServices holds the services with servers that get no new flows only because they are evacuated.
 	evacuatedServices map[id.Service]bool
+	// Demand is the demand that all instances reported.
+	Demand FleetDemand
 
 	measures []Measure
 	// typicalServiceTimes holds the typical service time of each pool, and reportedTotals the totals of its measures.
@@ -170,6 +174,7 @@
 		table.noteEvacuated(server.Service)
 		return
 	}
+	server.inPool = true
 	if table.Pools == nil {
 		table.Pools = make(map[id.Service]*Pool)
 	}
@@ -226,6 +231,7 @@
 		updated.typicalServiceTimes[pool.typicalIndex] = baselines.update(now, pool.Service, serviceTimes)
 		updated.reportedTotals[pool.typicalIndex] = updated.sumMeasures(pool)
 	}
+	updated.sumOutside()
 	return &updated
 }
 
--- a/experiment/load/slowstart.go
+++ b/experiment/load/slowstart.go
@@ -19,9 +19,9 @@
 	_claimFreshness = 3 * time.Second
 )
 
-// Dispatch returns a deployment of 137 instances and 150 servers with the load of its usual days. All servers are of
-// one service here.
-func Dispatch() Config {
+// DispatchWithUploads returns a deployment of 137 instances and 150 servers with the load of its usual days. All
+// servers are of one service here.
+func DispatchWithUploads() Config {
 	config := Valtellina()
 	config.Zones = []Zone{
 		{Domain: "north", Instances: 46, Servers: 50, Rate: 520.5},
--- a/experiment/load/slowstart_test.go
+++ b/experiment/load/slowstart_test.go
@@ -39,7 +39,7 @@
 	for _, pattern := range patterns {
 		c.Run(pattern.Name, func(c *qt.C) {
 			for _, scale := range []float64{1, 2} {
-				config := Dispatch()
+				config := DispatchWithUploads()
 				for index := range config.Zones {
 					config.Zones[index].Rate *= scale
 				}
