Read a configuration anew that its sender did not understand

An instance that does not understand a part of a configuration keeps its former version of that part. It passed the result on as a delta or in a view, and the receiver then had the version and did not read it from the store. During a release, instances of a new version served a route as the earlier version understood it, or not at all.

A decoded configuration now says that it is incomplete (route.Config.Incomplete). No delta from or to it is kept, so that other instances read the version from the store, as they do when a change is too large for a message. An instance that got an incomplete one in a view reads the store too, and the complete one of the same version replaces it. A delta on top of an incomplete configuration leaves it incomplete. A mistake of the operator makes all instances read that version from the store.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -138,29 +138,39 @@
 	return catalog.routes
 }
 
-// ApplyConfig puts a configuration in force unless it is older than the one that is, and reports whether it did. Parts
-// of it that could not be understood stay as they are.
+// ApplyConfig puts a configuration in force and reports whether it did: it has to be newer than the one in force, or
+// the complete one of the same version. Parts of it that could not be understood stay as they are.
 func (catalog *Catalog) ApplyConfig(config route.Config) bool {
-	if config.Version <= catalog.routes.Version {
+	completes := config.Version == catalog.routes.Version && catalog.routes.Incomplete && !config.Incomplete
+	if config.Version <= catalog.routes.Version && !completes {
 		return false
 	}
 	config = config.KeepUnreadable(catalog.routes)
-	if catalog.routes.Version > 0 {
-		catalog.keepDelta(route.Diff(catalog.routes, config))
+	catalog.putInForce(config, route.Diff(catalog.routes, config))
+	return true
+}
+
+// putInForce replaces the configuration in force, and retains the delta to the new one for other instances. A delta
+// from or to an incomplete configuration is not retained: other instances may understand what this one does not, and
+// would not read it from the store once they have the version.
+func (catalog *Catalog) putInForce(config route.Config, delta route.Delta) {
+	if catalog.routes.Version == 0 || catalog.routes.Incomplete || config.Incomplete {
+		catalog.deltas = nil
+	} else {
+		catalog.keepDelta(delta)
 	}
 	catalog.routes = config
-	return true
 }
 
 // ApplyDelta applies a delta to the configuration in force. It reports whether it did: the delta has to begin at the
-// version in force and lead to a newer one.
+// version in force and lead to a newer one. A configuration that was incomplete stays so, as the delta may lack what
+// was not understood.
 func (catalog *Catalog) ApplyDelta(delta route.Delta) bool {
 	config, ok := delta.Apply(catalog.routes)
 	if !ok || config.Version <= catalog.routes.Version {
 		return false
 	}
-	catalog.keepDelta(delta)
-	catalog.routes = config
+	catalog.putInForce(config, delta)
 	return true
 }
 
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -167,6 +167,53 @@
 	})
 }
 
+// TestIncompleteConfig guards against an instance that does not understand a part of a configuration and passes its
+// version of that part on to instances that do, such as newer ones during a release.
+func TestIncompleteConfig(t *testing.T) {
+	c := qt.New(t)
+	config := func(version route.Version, priority route.Priority) route.Config {
+		return route.Config{Version: version, Routes: []route.Route{{Endpoint: packet.Endpoint{Port: 1}, Priority: priority}}}
+	}
+	incomplete := func(version route.Version) route.Config {
+		return route.Config{
+			Version: version, Incomplete: true,
+			Unreadable: route.Unreadable{Routes: []packet.Endpoint{{Port: 1}}},
+		}
+	}
+	behind := newCatalog()
+	behind.ApplyConfig(config(4, 4))
+	behind.ApplyConfig(incomplete(5))
+	behind.ApplyConfig(incomplete(6))
+	c.Run("keeps the part as it was", func(c *qt.C) {
+		c.Assert(behind.Routes().Routes, qt.DeepEquals, config(4, 4).Routes)
+	})
+	c.Run("is not passed on as a delta", func(c *qt.C) {
+		for _, version := range []route.Version{4, 5} {
+			_, ok := behind.DeltaSince(version)
+			c.Assert(ok, qt.IsFalse, qt.Commentf("version %d", version))
+		}
+	})
+	c.Run("stays incomplete after a delta", func(c *qt.C) {
+		updated := newCatalog()
+		updated.ApplyConfig(incomplete(5))
+		c.Assert(updated.ApplyDelta(route.Diff(config(5, 5), config(6, 5))), qt.IsTrue)
+		c.Assert(updated.Routes().Incomplete, qt.IsTrue)
+		_, ok := updated.DeltaSince(5)
+		c.Assert(ok, qt.IsFalse)
+	})
+	c.Run("is replaced by the complete one of the same version, but not the reverse", func(c *qt.C) {
+		c.Assert(behind.ApplyConfig(incomplete(6)), qt.IsFalse)
+		c.Assert(behind.ApplyConfig(config(6, 6)), qt.IsTrue)
+		c.Assert(behind.ApplyConfig(incomplete(6)), qt.IsFalse)
+		c.Assert(behind.Routes(), qt.DeepEquals, config(6, 6))
+	})
+	c.Run("is followed by deltas again once it is complete", func(c *qt.C) {
+		behind.ApplyConfig(config(7, 7))
+		_, ok := behind.DeltaSince(6)
+		c.Assert(ok, qt.IsTrue)
+	})
+}
+
 // TestAnyOrder checks that a catalog which gets a history in overlapping parts ends like one that gets it at once.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -86,6 +86,8 @@
 	// notes are what the instance logged, and resets the servers whose flows it reset.
 	notes  []Note
 	resets []packet.Cookie
+	// isEarlierVersion says that the instance understands no route that it reads from the store.
+	isEarlierVersion bool
 }
 
 func newCluster(c *qt.C, seed uint64) *cluster {
--- a/core/entry/configread.go
+++ b/core/entry/configread.go
@@ -18,7 +18,9 @@
 	newest route.Version
 	holder netip.AddrPort
 	// lost says that the store had an older version when it was last read, as it was restored from a backup.
-	lost     bool
+	lost bool
+	// unread says that the configuration in force is incomplete and from another instance. This one may understand more.
+	unread   bool
 	failures int
 	retryAt  time.Duration
 }
@@ -48,12 +50,23 @@
 	}
 }
 
-// readConfigIfDue reads the configuration that this instance lacks. It asks the store, which has the most bandwidth.
-// If the store does not answer this instance, takes long, or lacks the version, it asks an instance that has it. It
-// tries again until it has the version: no later change brings it.
+// configureFrom puts the configuration of another instance in force. If that instance did not understand all of it,
+// this one reads it from the store as well, as the same version in an update would not bring the rest.
+func (state *State) configureFrom(config *route.Config) {
+	if config.Incomplete && config.Version > state.catalog.Routes().Version {
+		state.configReading.unread = true
+	}
+	state.configure(config)
+}
+
+// readConfigIfDue reads the configuration that this instance lacks or has from an instance that did not understand all
+// of it. It asks the store, which has the most bandwidth. If the store does not answer this instance, takes long, or
+// lacks the version, it asks an instance that has it. It tries again until it has the version: no later change brings
+// it.
 func (state *State) readConfigIfDue() {
 	reading := &state.configReading
-	if state.missingConfig() == 0 || !state.informed() {
+	reading.unread = reading.unread && state.catalog.Routes().Incomplete
+	if state.missingConfig() == 0 && !reading.unread || !state.informed() {
 		return
 	}
 	if reading.pending {
@@ -65,7 +78,8 @@
 	if state.now < reading.retryAt {
 		return
 	}
-	if state.reading.storeLost {
+	// An instance with fresh updates reads nothing else from the store that would show that the store is back.
+	if state.reading.storeLost && !reading.unread {
 		state.retryConfigRead()
 		return
 	}
@@ -77,7 +91,8 @@
 func (state *State) handleConfigRead(event ConfigRead) {
 	state.configReading.pending = false
 	state.configure(event.Config)
-	if state.missingConfig() != 0 {
+	state.configReading.unread = state.configReading.unread && event.Config == nil
+	if state.missingConfig() != 0 || state.configReading.unread {
 		// An answer to a read from before the newest version was known says nothing about that.
 		state.configReading.lost = event.Config != nil && state.configReading.wanted == state.configReading.newest
 		state.retryConfigRead()
--- a/core/entry/configread_test.go
+++ b/core/entry/configread_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"azureshift/core/catalog"
 	"azureshift/core/fleet"
+	"azureshift/core/id"
 	"azureshift/core/route"
 )
 
@@ -51,6 +53,51 @@
 	}
 }
 
+// assertRoutes asserts that the instances that understand all routes have those of the store in force.
+func assertRoutes(c *qt.C, cluster *cluster) {
+	c.Helper()
+	for _, node := range cluster.orderedNodes() {
+		if !node.isEarlierVersion {
+			c.Assert(node.state.catalog.Routes(), qt.DeepEquals, cluster.store.config, qt.Commentf("%s", node.self.Name))
+		}
+	}
+}
+
+// TestConfigurationThatSomeUnderstand guards against instances that serve routes as an instance of an earlier version
+// does, which does not understand them, because they have learned the configuration from it.
+func TestConfigurationThatSomeUnderstand(t *testing.T) {
+	c := qt.New(t)
+	startMixed := func(c *qt.C, seed uint64, understanding ...id.Instance) *cluster {
+		cluster := startCluster(c, seed, 2, 4)
+		cluster.checkFor(8 * time.Second)
+		for _, node := range cluster.orderedNodes() {
+			node.isEarlierVersion = !slices.Contains(understanding, node.self.Name)
+		}
+		cluster.configureRoute(20, 2*time.Second)
+		cluster.checkFor(_drainLimit)
+		return cluster
+	}
+	c.Run("and others do not", func(c *qt.C) {
+		for seed := range uint64(4) {
+			cluster := startMixed(c, 320+seed, "a-2", "c-2")
+			assertRoutes(c, cluster)
+			cluster.configureRoute(21, 4*time.Second)
+			cluster.checkFor(_drainLimit)
+			assertRoutes(c, cluster)
+		}
+	})
+	c.Run("and is learned at a start without the store", func(c *qt.C) {
+		cluster := startMixed(c, 330)
+		cluster.store.refused["c-3"] = true
+		started := cluster.addNode("c", 3, 61)
+		cluster.runFor(3 * time.Second)
+		c.Assert(started.state.catalog.Routes().Incomplete, qt.IsTrue)
+		cluster.store.refused["c-3"] = false
+		cluster.runFor(_drainLimit)
+		assertRoutes(c, cluster)
+	})
+}
+
 // TestConfigurationBehindALostMessage guards against an instance that counts itself up to date because the one from
 // which it has the revision lacks the configuration as well.
 func TestConfigurationBehindALostMessage(t *testing.T) {
--- a/core/entry/fake_store_test.go
+++ b/core/entry/fake_store_test.go
@@ -79,8 +79,7 @@
 		listed.Entries = append(listed.Entries, cluster.store.entries[key])
 	}
 	if cluster.store.config.Version > 0 {
-		config := cluster.store.config
-		listed.Config = &config
+		listed.Config = node.decode(&cluster.store.config)
 	}
 	cluster.schedule(node, _storeDelay, func() Event {
 		listed.At = cluster.now
@@ -115,7 +114,7 @@
 		followed := Followed{RequestedAt: asked, After: effect.After, Revision: cluster.store.revision}
 		for _, storeChange := range cluster.store.history {
 			if storeChange.config != nil && storeChange.entry.Revision > effect.After {
-				followed.Config = storeChange.config
+				followed.Config = node.decode(storeChange.config)
 				followed.Changes++
 			} else if storeChange.entry.Revision > effect.After {
 				followed.Entries = append(followed.Entries, storeChange.entry)
@@ -165,10 +164,15 @@
 }
 
 func (cluster *cluster) configure(version route.Version) {
+	cluster.configureRoute(version, time.Second)
+}
+
+// configureRoute writes a configuration with a route that has a timeout.
+func (cluster *cluster) configureRoute(version route.Version, timeout time.Duration) {
 	cluster.write("", catalog.Entry{}, &route.Config{
 		Version: version, IdleTimeout: 15 * time.Second,
 		Routes: []route.Route{{
-			Endpoint: packet.Endpoint{Port: 443}, Kind: route.Idempotent, Timeout: time.Second,
+			Endpoint: packet.Endpoint{Port: 443}, Kind: route.Idempotent, Timeout: timeout,
 			Shares: []route.Share{{Service: "chiosco", Weight: 1}},
 		}},
 	})
@@ -186,6 +190,18 @@
 	cluster.write("", catalog.Entry{}, &config)
 }
 
+// decode returns what the instance understands of a configuration.
+func (node *node) decode(config *route.Config) *route.Config {
+	decoded := *config
+	if node.isEarlierVersion {
+		for _, odd := range decoded.Routes {
+			decoded.Unreadable.Routes = append(decoded.Unreadable.Routes, odd.Endpoint)
+		}
+		decoded.Routes, decoded.Incomplete = nil, true
+	}
+	return &decoded
+}
+
 // silenceConfigReads lets the next read of the configuration go unanswered at all instances but one.
 func (cluster *cluster) silenceConfigReads(except *node) {
 	for _, node := range cluster.orderedNodes() {
@@ -202,8 +218,7 @@
 		return
 	}
 	cluster.schedule(node, effect.Delay+_storeDelay, func() Event {
-		config := cluster.store.config
-		return ConfigRead{At: cluster.now, Config: &config}
+		return ConfigRead{At: cluster.now, Config: node.decode(&cluster.store.config)}
 	})
 }
 
--- a/core/entry/fetch.go
+++ b/core/entry/fetch.go
@@ -57,7 +57,7 @@
 	defer state.dropLostConfig()
 	state.expectConfig(view.Version, view.Missing, event.From)
 	if view.Revision == 0 || view.Revision < state.catalog.Revision() {
-		state.configure(&view.Config)
+		state.configureFrom(&view.Config)
 		return
 	}
 	first := state.catalog.Revision() == 0
@@ -70,7 +70,7 @@
 	} else {
 		state.applyListing(view.Entries, view.Revision)
 	}
-	state.configure(&view.Config)
+	state.configureFrom(&view.Config)
 	if view.Version < state.catalog.Routes().Version {
 		return
 	}
--- a/core/route/delta.go
+++ b/core/route/delta.go
@@ -95,7 +95,9 @@
 	for _, route := range delta.Upserted {
 		changed[route.Endpoint] = true
 	}
-	updated := Config{Version: delta.To, Services: config.Services, IdleTimeout: config.IdleTimeout}
+	updated := Config{
+		Version: delta.To, Services: config.Services, IdleTimeout: config.IdleTimeout, Incomplete: config.Incomplete,
+	}
 	if delta.Settings != nil {
 		updated.Services, updated.IdleTimeout = delta.Settings.Services, delta.Settings.IdleTimeout
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -93,6 +93,9 @@
 	Services []Service `cbor:"3,keyasint"`
 	// IdleTimeout is how long a flow may be idle before it may be removed.
 	IdleTimeout time.Duration `cbor:"4,keyasint"`
+	// Incomplete says that the instance that decoded the configuration did not understand all of it. Another one may, so
+	// it does not learn of changes from this one.
+	Incomplete bool `cbor:"5,keyasint,omitempty"`
 	// Unreadable names what is left out because it could not be understood. It is empty once the configuration applies.
 	Unreadable Unreadable `cbor:"-"`
 }
