Tell instances in views of withdrawn evacuations; ignore those of no effect

A view named the requested evacuations and not the withdrawn ones, and a withdrawal of an unknown evacuation was ignored. So an instance that started without the store, or was out of touch for the whole of an evacuation, took the servers of the failure domain to be warm and sent them flows without limit. The other way round, a request that had no effect, as the settings do not bound evacuations, put the servers into slow start when it was withdrawn.

Views now name the withdrawals of the last flow lifetime with their age, and a catalog records a withdrawal of an evacuation that it did not know. The test of reopened failure domains uses the catalog, so the function that it replaced is gone.

TestReopenedInViews and two cases of TestReopenedDomain failed before (0 cold servers instead of 2 at an instance that starts without the store, 2 instead of 0 without the bound) and pass now; core/catalog and core/entry pass.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -32,6 +32,8 @@
 	// for which the operator has withdrawn that request.
 	Evacuated id.Domain `cbor:"8,keyasint,omitempty"`
 	Reopened  id.Domain `cbor:"9,keyasint,omitempty"`
+	// Age is how long ago the sender of a view learned of the withdrawal that Reopened names. It is zero elsewhere.
+	Age time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Record is the last known registration of a backend server and whether it still exists.
@@ -274,8 +276,9 @@
 	return nil, true
 }
 
-// Entries returns all existing registrations and evacuations, sorted by name, for an instance with an empty catalog.
-func (catalog *Catalog) Entries() []Entry {
+// Entries returns all existing registrations, and all evacuations with those withdrawn recently, sorted by name, for an
+// instance with an empty catalog.
+func (catalog *Catalog) Entries(now time.Duration) []Entry {
 	var entries []Entry
 	for _, record := range catalog.Servers() {
 		if !record.Missing {
@@ -290,7 +293,7 @@
 			})
 		}
 	}
-	return append(entries, catalog.evacuationEntries()...)
+	return append(entries, catalog.evacuationEntries(now)...)
 }
 
 // Servers returns the backend servers that are registered or retained, sorted by name. The caller must not change
@@ -386,7 +389,7 @@
 	case entry.Evacuated != "":
 		return catalog.evacuate(interval, entry.Evacuated, entry.Revision)
 	case entry.Reopened != "":
-		return catalog.reopen(interval, entry.Reopened, entry.Revision)
+		return catalog.reopen(interval, entry)
 	}
 	return true
 }
--- a/core/catalog/evacuation.go
+++ b/core/catalog/evacuation.go
@@ -52,12 +52,18 @@
 	return evacuation.ChangedAt, evacuation.Withdrawn
 }
 
-// evacuationEntries returns the entries of the requested evacuations.
-func (catalog *Catalog) evacuationEntries() []Entry {
-	requested := catalog.Evacuations()
-	entries := make([]Entry, 0, len(requested))
-	for _, evacuation := range requested {
-		entries = append(entries, Entry{Revision: evacuation.Revision, Evacuated: evacuation.Domain})
+// evacuationEntries returns the entries of the requested evacuations and of those that were withdrawn recently, sorted
+// by failure domain. An instance that has missed a withdrawal would take servers in slow start to be warm.
+func (catalog *Catalog) evacuationEntries(now time.Duration) []Entry {
+	entries := make([]Entry, 0, len(catalog.evacuations))
+	for _, domain := range slices.Sorted(maps.Keys(catalog.evacuations)) {
+		entry := Entry{Revision: catalog.evacuations[domain].Revision}
+		if evacuation := catalog.evacuations[domain]; evacuation.Withdrawn {
+			entry.Reopened, entry.Age = domain, now-evacuation.ChangedAt
+		} else {
+			entry.Evacuated = domain
+		}
+		entries = append(entries, entry)
 	}
 	return entries
 }
@@ -94,14 +100,23 @@
 	return true
 }
 
-// reopen records the withdrawal of an evacuation and reports whether the failure domain was evacuated before.
-func (catalog *Catalog) reopen(interval Interval, domain id.Domain, revision store.Revision) bool {
-	known, ok := catalog.evacuations[domain]
-	if !ok || known.Withdrawn || known.Revision > revision {
+// reopen records the withdrawal of an evacuation, also of one that was not known, as it may have begun and ended while
+// this instance was out of touch. It reports whether the withdrawal is news.
+func (catalog *Catalog) reopen(interval Interval, entry Entry) bool {
+	known, ok := catalog.evacuations[entry.Reopened]
+	if ok && known.Revision > entry.Revision {
 		return false
 	}
-	catalog.evacuations[domain] = Evacuation{
-		Domain: domain, Revision: revision, Withdrawn: true, ChangedAt: interval.Now,
+	changedAt := interval.Now - entry.Age
+	if ok && known.Withdrawn {
+		// Only views have ages. One with a later withdrawal shows that the failure domain was evacuated again meanwhile.
+		if entry.Age == 0 || entry.Revision == known.Revision {
+			return false
+		}
+		changedAt = max(changedAt, known.ChangedAt)
+	}
+	catalog.evacuations[entry.Reopened] = Evacuation{
+		Domain: entry.Reopened, Revision: entry.Revision, Withdrawn: true, ChangedAt: changedAt,
 	}
 	return true
 }
--- a/core/catalog/evacuation_test.go
+++ b/core/catalog/evacuation_test.go
@@ -75,7 +75,7 @@
 	c.Run("reach an instance with an empty catalog", func(c *qt.C) {
 		catalog, started := newCatalog(), newCatalog()
 		catalog.ApplyChanges(Interval{}, 0, []Entry{evacuated("b", 1), evacuated("a", 2), reopened("b", 3)}, 3)
-		started.ApplyListing(Interval{}, catalog.Entries(), catalog.Revision())
+		started.ApplyListing(Interval{}, catalog.Entries(0), catalog.Revision())
 		assertEvacuated(c, started, "a")
 	})
 	c.Run("follow a restored store", func(c *qt.C) {
@@ -118,3 +118,40 @@
 		assertReopened(c, 0, false)
 	})
 }
+
+// TestReopenedInViews guards against an instance that starts, or was out of touch, shortly after the withdrawal of an
+// evacuation and takes the servers of the failure domain to be warm.
+func TestReopenedInViews(t *testing.T) {
+	c := qt.New(t)
+	// The clocks of instances differ.
+	const clockStep = time.Hour
+	informed, other := newCatalog(), newCatalog()
+	show := func() {
+		other.ApplyListing(Interval{Now: clockStep + 8*time.Second}, informed.Entries(8*time.Second), informed.Revision())
+	}
+	assertReopened := func(c *qt.C, since time.Duration) {
+		c.Helper()
+		reopenedAt, ok := other.Reopened("a")
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(reopenedAt, qt.Equals, since)
+	}
+	informed.ApplyChanges(Interval{Now: time.Second}, 0, []Entry{evacuated("a", 1)}, 1)
+	informed.ApplyChanges(Interval{Now: 5 * time.Second}, 1, []Entry{reopened("a", 2)}, 2)
+	c.Run("of an instance that did not know of the evacuation", func(c *qt.C) {
+		show()
+		assertEvacuated(c, other)
+		assertReopened(c, clockStep+5*time.Second)
+	})
+	c.Run("of an instance that knows of an earlier one", func(c *qt.C) {
+		informed.ApplyChanges(Interval{Now: 6 * time.Second}, 2, []Entry{evacuated("a", 3)}, 3)
+		informed.ApplyChanges(Interval{Now: 7 * time.Second}, 3, []Entry{reopened("a", 4)}, 4)
+		show()
+		assertReopened(c, clockStep+7*time.Second)
+	})
+	c.Run("among changes, some of which are from before a listing", func(c *qt.C) {
+		other = newCatalog()
+		other.ApplyListing(Interval{Now: clockStep}, nil, 3)
+		other.ApplyChanges(Interval{Now: clockStep + time.Second}, 3, []Entry{reopened("a", 4)}, 4)
+		assertReopened(c, clockStep+time.Second)
+	})
+}
--- a/core/entry/slowstart.go
+++ b/core/entry/slowstart.go
@@ -28,16 +28,13 @@
 	membership *slowstart.Membership
 	// services holds the settings of the services of the configuration.
 	services map[id.Service]route.Service
-	// reopened returns when the withdrawal of the evacuation of a failure domain was learned, and false if none was.
-	reopened func(domain id.Domain) (at time.Duration, ok bool)
 }
 
-func newSlowStarting(self catalog.Instance, known *catalog.Catalog) slowStarting {
+func newSlowStarting(self catalog.Instance) slowStarting {
 	return slowStarting{
 		membership: slowstart.NewMembership(slowstart.Config{
 			Self: slowstart.Member{Name: self.Name, Incarnation: self.Incarnation},
 		}),
-		reopened: known.Reopened,
 	}
 }
 
@@ -74,13 +71,14 @@
 }
 
 // warmAt returns when a server completes its slow start. After the withdrawal of an evacuation that is not before the
-// slow start of its service has passed, even if its registration does not show it yet.
+// slow start of its service has passed, even if its registration does not show it yet. One that had no effect, as the
+// settings do not bound evacuations, left the server in use.
 func (state *State) warmAt(record *catalog.Record) time.Duration {
 	at := record.LearnedAt + record.SlowStartLeft
-	if !state.config.Limits.SlowStart.inForce() {
+	if !state.config.Limits.SlowStart.inForce() || !state.enforcesEvacuations() {
 		return at
 	}
-	reopenedAt, ok := state.slowStarting.reopened(record.Domain)
+	reopenedAt, ok := state.catalog.Reopened(record.Domain)
 	if service := state.slowStarting.services[record.Service]; ok && service.SlowStart > 0 {
 		at = max(at, reopenedAt+_heartbeatInterval+service.SlowStart)
 	}
--- a/core/entry/slowstart_test.go
+++ b/core/entry/slowstart_test.go
@@ -218,36 +218,62 @@
 	})
 }
 
-// TestReopenedDomain guards against flows without limit to servers of a failure domain whose evacuation was withdrawn,
-// and whose registrations do not show their slow start yet.
-func TestReopenedDomain(t *testing.T) {
-	c := qt.New(t)
-	const slowStart = 2 * time.Second
-	cluster := startColdCluster(c, 4)
+// reopenDomain evacuates a failure domain of a cluster of warm servers for a while, and withdraws that.
+func reopenDomain(c *qt.C, seed uint64, slowStart, evacuationLimit time.Duration) *cluster {
+	c.Helper()
+	cluster := startColdCluster(c, seed)
 	cluster.slowStartLeft = 0
+	for _, node := range cluster.orderedNodes() {
+		node.state.config.Limits.Evacuation = evacuationLimit
+	}
 	cluster.write("", catalog.Entry{}, &route.Config{
 		Version: 4, IdleTimeout: 15 * time.Second, Routes: cluster.store.config.Routes,
 		Services: []route.Service{{Name: "chiosco", SlowStart: slowStart}},
 	})
 	cluster.checkFor(12 * time.Second)
-	node := cluster.orderedNodes()[0]
-	c.Assert(node.table.CountCold(cluster.now), qt.Equals, 0)
-	reopenedAt := cluster.now
-	node.state.slowStarting.reopened = func(domain id.Domain) (time.Duration, bool) { return reopenedAt, domain == "b" }
-	cluster.addServer("c", 50)
+	c.Assert(cluster.orderedNodes()[0].table.CountCold(cluster.now), qt.Equals, 0)
+	cluster.evacuate("b")
 	cluster.checkFor(time.Second)
-	c.Assert(node.table.CountCold(cluster.now), qt.Equals, 2)
-	for _, server := range node.table.Servers {
-		if server.Domain == "b" {
-			c.Assert(server.Warm, qt.IsFalse)
-			c.Assert(server.ColdUntil, qt.Equals, reopenedAt+slowStart+_heartbeatInterval+_slowStartMargin)
+	cluster.reopen("b")
+	cluster.checkFor(time.Second)
+	return cluster
+}
+
+// TestReopenedDomain guards against flows without limit to servers of a failure domain whose evacuation was withdrawn,
+// and whose registrations do not show their slow start yet.
+func TestReopenedDomain(t *testing.T) {
+	c := qt.New(t)
+	const slowStart = 2 * time.Second
+	c.Run("is in slow start for a while", func(c *qt.C) {
+		cluster := reopenDomain(c, 4, slowStart, _evacuationLimit)
+		node := cluster.orderedNodes()[0]
+		reopenedAt, _ := node.state.catalog.Reopened("b")
+		c.Assert(node.table.CountCold(cluster.now), qt.Equals, 2)
+		for _, server := range node.table.Servers {
+			if server.Domain == "b" {
+				c.Assert(server.Warm, qt.IsFalse)
+				c.Assert(server.ColdUntil, qt.Equals, reopenedAt+slowStart+_heartbeatInterval+_slowStartMargin)
+			}
 		}
-	}
-	cluster.checkFor(slowStart + _heartbeatInterval + _slowStartMargin)
-	c.Assert(node.table.CountCold(cluster.now), qt.Equals, 0)
-	for _, server := range node.table.Servers {
-		c.Assert(server.Warm, qt.IsTrue)
-	}
+		cluster.checkFor(slowStart + _heartbeatInterval + _slowStartMargin)
+		c.Assert(node.table.CountCold(cluster.now), qt.Equals, 0)
+		for _, server := range node.table.Servers {
+			c.Assert(server.Warm, qt.IsTrue)
+		}
+	})
+	c.Run("is in slow start for an instance that starts without the store", func(c *qt.C) {
+		cluster := reopenDomain(c, 4, slowStart, _evacuationLimit)
+		cluster.store.refused["c-9"] = true
+		started := cluster.addNode("c", 9, 61)
+		cluster.runFor(time.Second)
+		c.Assert(started.table.CountCold(cluster.now), qt.Equals, 2)
+	})
+	c.Run("is not in slow start if the request had no effect", func(c *qt.C) {
+		cluster := reopenDomain(c, 4, slowStart, 0)
+		for _, node := range cluster.orderedNodes() {
+			c.Assert(node.table.CountCold(cluster.now), qt.Equals, 0)
+		}
+	})
 }
 
 // changeInstances ends the registration of an instance, which goes on without it, is killed or restarts, or starts one
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -63,7 +63,7 @@
 			lastUsed: make(map[id.Target]time.Duration),
 		},
 	}
-	state.slowStarting = newSlowStarting(config.Self, state.catalog)
+	state.slowStarting = newSlowStarting(config.Self)
 	state.publishing.loads.Slots = state.slots
 	state.publishing.loads.Seed = xxhash.Sum64String(string(config.Self.Name))
 	return state
@@ -299,7 +299,7 @@
 	if stateID.Revision > 0 && ok {
 		view.Base, view.Entries = stateID.Revision, changes
 	} else {
-		view.Entries = state.catalog.Entries()
+		view.Entries = state.catalog.Entries(now)
 	}
 	if stateID.Config != view.Version {
 		view.Config = state.catalog.Routes()
