Bound the cost of many evacuation keys

Anyone may write keys under op/evacuate/. Withdrawn evacuations stayed for the lifetime of a flow, however many keys were written and removed.

The first listing logs 16 evacuations, the number of requested ones is kept, and of the withdrawn ones of failure domains without servers only the last 256 stay. Those of failure domains with servers stay, as they decide about slow start. Requested evacuations remain unbounded, as are registrations: dropping one would break the rule once servers of that failure domain appear.

TestManyEvacuations and TestManyEvacuationsAtStart failed before and pass now, as do core/catalog, core/entry and the tests of evacuations, configurations, metrics and servers in entry.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -100,8 +100,9 @@
 	// sorted holds the servers by name, or nil if it has to be rebuilt.
 	sorted    []*Record
 	instances map[id.Instance]instanceRecord
-	// evacuations holds the requested and, for a while, the withdrawn evacuations.
+	// evacuations holds the requested and, for a while, the withdrawn evacuations. requested is the number of the former.
 	evacuations map[id.Domain]Evacuation
+	requested   int
 
 	routes   route.Config
 	deltas   []route.Delta
--- a/core/catalog/evacuation.go
+++ b/core/catalog/evacuation.go
@@ -10,6 +10,10 @@
 	"azureshift/core/store"
 )
 
+// _maxWithdrawn is the number of withdrawn evacuations that are retained for failure domains without servers. Anyone
+// may write and remove any number of keys.
+const _maxWithdrawn = 256
+
 // Evacuation is the last known state of the operator's request that no new flow be sent to the backend servers of a
 // failure domain.
 type Evacuation struct {
@@ -33,6 +37,11 @@
 	return requested
 }
 
+// CountEvacuations returns the number of evacuations that are requested.
+func (catalog *Catalog) CountEvacuations() int {
+	return catalog.requested
+}
+
 // Evacuation returns the last known state of the evacuation of a failure domain, and false if none is known.
 func (catalog *Catalog) Evacuation(domain id.Domain) (Evacuation, bool) {
 	evacuation, ok := catalog.evacuations[domain]
@@ -97,6 +106,7 @@
 		return false
 	}
 	catalog.evacuations[domain] = Evacuation{Domain: domain, Revision: revision, ChangedAt: interval.Now}
+	catalog.requested++
 	return true
 }
 
@@ -115,6 +125,9 @@
 		}
 		changedAt = max(changedAt, known.ChangedAt)
 	}
+	if ok && !known.Withdrawn {
+		catalog.requested--
+	}
 	catalog.evacuations[entry.Reopened] = Evacuation{
 		Domain: entry.Reopened, Revision: entry.Revision, Withdrawn: true, ChangedAt: changedAt,
 	}
@@ -122,9 +135,26 @@
 }
 
 // forgetWithdrawn removes evacuations that were withdrawn longer ago than a flow may last. Until then, a message that
-// is late cannot bring them back.
+// is late cannot bring them back. Of failure domains without servers it retains only the last _maxWithdrawn.
 func (catalog *Catalog) forgetWithdrawn(now time.Duration) {
 	maps.DeleteFunc(catalog.evacuations, func(_ id.Domain, evacuation Evacuation) bool {
 		return evacuation.Withdrawn && now-evacuation.ChangedAt > catalog.config.MaxFlowLife
 	})
+	if len(catalog.evacuations)-catalog.requested <= _maxWithdrawn {
+		return
+	}
+	domains := make(map[id.Domain]bool)
+	for _, record := range catalog.servers {
+		domains[record.Domain] = true
+	}
+	var unused []Evacuation
+	for _, evacuation := range catalog.evacuations {
+		if evacuation.Withdrawn && !domains[evacuation.Domain] {
+			unused = append(unused, evacuation)
+		}
+	}
+	slices.SortFunc(unused, func(left, right Evacuation) int { return cmp.Compare(right.ChangedAt, left.ChangedAt) })
+	for _, evacuation := range unused[min(_maxWithdrawn, len(unused)):] {
+		delete(catalog.evacuations, evacuation.Domain)
+	}
 }
--- a/core/catalog/evacuation_test.go
+++ b/core/catalog/evacuation_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,8 @@
 
 	"azureshift/core/id"
 	"azureshift/core/store"
+	"azureshift/core/target"
+	"azureshift/standin/budget"
 )
 
 func evacuated(domain id.Domain, revision store.Revision) Entry {
@@ -155,3 +158,46 @@
 		assertReopened(c, clockStep+time.Second)
 	})
 }
+
+// TestManyEvacuations guards against keys that anyone may write, for failure domains that have no servers, using up the
+// memory of an instance, or its processor time whenever a table is built.
+func TestManyEvacuations(t *testing.T) {
+	c := qt.New(t)
+	const count = 20_000
+	name := func(number int) id.Domain { return id.Domain(fmt.Sprintf("%0200d", number)) }
+	c.Run("withdrawn ones are forgotten, but not of failure domains with servers", func(c *qt.C) {
+		catalog := newCatalog()
+		registered := server("i-1", target.StateReady, 1)
+		registered.Server.Domain = "a"
+		catalog.ApplyListing(Interval{}, []Entry{registered, evacuated("a", 2)}, 2)
+		catalog.ApplyChanges(Interval{Now: 1}, 2, []Entry{reopened("a", 3)}, 3)
+		for number := range count {
+			base := catalog.Revision()
+			changes := []Entry{evacuated(name(number), base+1), reopened(name(number), base+2)}
+			catalog.ApplyChanges(Interval{Now: time.Duration(number)}, base, changes, base+2)
+		}
+		catalog.RemoveExpired(count)
+		c.Assert(len(catalog.evacuations) <= _maxWithdrawn+1, qt.IsTrue, qt.Commentf("%d", len(catalog.evacuations)))
+		for _, domain := range []id.Domain{"a", name(count - 1)} {
+			_, ok := catalog.Reopened(domain)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%s", domain))
+		}
+	})
+	c.Run("requested ones are counted at no cost", func(c *qt.C) {
+		catalog := newCatalog()
+		entries := make([]Entry, 0, count)
+		for number := range count {
+			entries = append(entries, evacuated(name(number), store.Revision(number+1)))
+		}
+		catalog.ApplyListing(Interval{}, entries, count)
+		catalog.ApplyChanges(Interval{}, count, []Entry{reopened(name(0), count+1), evacuated(name(1), count+2)}, count+2)
+		catalog.ApplyChanges(Interval{}, count+2, []Entry{reopened("a", count+3)}, count+3)
+		c.Assert(catalog.CountEvacuations(), qt.Equals, len(catalog.Evacuations()))
+		const tables = 1000
+		budget.AssertCheap(c, func() {
+			for range tables {
+				catalog.CountEvacuations()
+			}
+		})
+	})
+}
--- a/core/entry/evacuation.go
+++ b/core/entry/evacuation.go
@@ -13,6 +13,10 @@
 	_causeNotBounded = "NotBounded"
 )
 
+// _maxFirstEvacuations is the number of evacuations in the first listing of the store that are logged. Anyone may write
+// any number of keys, and a line for each would delay the start of an instance with little processor time.
+const _maxFirstEvacuations = 16
+
 // enforcesEvacuations reports whether evacuations take effect, which is so if the settings bound them.
 func (state *State) enforcesEvacuations() bool {
 	return state.config.Limits.Evacuation > 0
@@ -28,7 +32,7 @@
 	if !state.enforcesEvacuations() {
 		return 0
 	}
-	return len(state.catalog.Evacuations())
+	return state.catalog.CountEvacuations()
 }
 
 // describe returns the log note of a changed entry of the catalog.
--- a/core/entry/evacuation_test.go
+++ b/core/entry/evacuation_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"azureshift/core/id"
 	"azureshift/core/packet"
 	"azureshift/core/steer"
+	"azureshift/core/store"
 )
 
 func evacuationKey(domain id.Domain) string {
@@ -289,3 +291,34 @@
 		c.Assert(node.table.Servers[packet.Cookie(1)].Evacuated, qt.IsTrue)
 	}
 }
+
+// TestManyEvacuationsAtStart guards against an instance that writes a line of the log for each of any number of keys
+// before it serves.
+func TestManyEvacuationsAtStart(t *testing.T) {
+	c := qt.New(t)
+	const count = 20_000
+	listed := Listed{At: 1, Revision: count}
+	for number := range count {
+		listed.Entries = append(listed.Entries, catalog.Entry{
+			Revision: store.Revision(number + 1), Evacuated: id.Domain(fmt.Sprintf("%0200d", number)),
+		})
+	}
+	state := New(Config{
+		Limits: Limits{Drain: _drainLimit, Convergence: _drainLimit, Evacuation: _evacuationLimit},
+		Random: func() float64 { return 0 },
+	})
+	state.Start(0)
+	noted, evacuated := 0, 0
+	for _, effect := range state.Reduce(listed) {
+		switch effect := effect.(type) {
+		case Note:
+			if effect.Kind == NoteEvacuated {
+				noted++
+			}
+		case Publish:
+			evacuated = effect.Table.Evacuated
+		}
+	}
+	c.Assert(noted, qt.Equals, _maxFirstEvacuations)
+	c.Assert(evacuated, qt.Equals, count)
+}
--- a/core/entry/read.go
+++ b/core/entry/read.go
@@ -312,18 +312,20 @@
 	}
 }
 
-// noteAndApplyFirst logs the first state of the store and applies it. The log gets only the evacuations and the number
-// of registrations: an instance with little processor time would take longer to write a line for each than to read the
-// whole listing.
+// noteAndApplyFirst logs the first state of the store and applies it. The log gets only the first evacuations and the
+// number of registrations: an instance with little processor time would take longer to write a line for each than to
+// read the whole listing.
 func (state *State) noteAndApplyFirst(entries []catalog.Entry) {
 	note := Note{Kind: NoteListed, Age: state.age(), Revision: state.catalog.Revision()}
+	evacuations := 0
 	for _, entry := range entries {
 		switch {
 		case entry.Server != nil:
 			note.Servers++
 		case entry.Instance != nil:
 			note.Instances++
-		case entry.Evacuated != "":
+		case entry.Evacuated != "" && evacuations < _maxFirstEvacuations:
+			evacuations++
 			state.emit(state.describe(entry))
 		}
 	}
