Limit slow starts only where the settings have both bounds

With one of the bounds alone, the limit was in force. Without the slack, a service that states no rate then had a limit of zero, so no instance sent any flow to its servers while they were cold. The design wants the rule only where both bounds are set; a deployment with one is now served as before.

TestSlowStartLimitInForce failed for both cases before and passes now, as do core/entry, settings, platform and the tests of slow starts and settings in entry.

--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -27,7 +27,7 @@
 }
 
 // SlowStartLimit bounds the new flows of all instances to one server in slow start: at most Overshoot times the rate
-// that its service states and Slack more in any second. It is not bounded if both are zero.
+// that its service states and Slack more in any second. It is not bounded if either is zero.
 type SlowStartLimit struct {
 	Overshoot float64
 	Slack     float64
--- a/core/entry/slowstart.go
+++ b/core/entry/slowstart.go
@@ -18,9 +18,9 @@
 	_heartbeatInterval = 1200 * time.Millisecond
 )
 
-// inForce reports whether new flows to servers in slow start are bounded.
+// inForce reports whether new flows to servers in slow start are bounded, which is so if the settings have both bounds.
 func (limit SlowStartLimit) inForce() bool {
-	return limit.Overshoot != 0 || limit.Slack != 0
+	return limit.Overshoot > 0 && limit.Slack > 0
 }
 
 // slowStarting is the state from which the limits of servers in slow start are computed.
--- a/core/entry/slowstart_test.go
+++ b/core/entry/slowstart_test.go
@@ -218,6 +218,17 @@
 	})
 }
 
+// TestSlowStartLimitInForce guards against a limit of settings that state one bound only: without the slack, and for a
+// service without a rate, no instance would send any flow to a cold server.
+func TestSlowStartLimitInForce(t *testing.T) {
+	c := qt.New(t)
+	for limit, expected := range map[SlowStartLimit]bool{
+		{}: false, {Overshoot: 1.5}: false, {Slack: 5}: false, {Overshoot: 1.5, Slack: 5}: true,
+	} {
+		c.Check(limit.inForce(), qt.Equals, expected, qt.Commentf("%+v", limit))
+	}
+}
+
 // reopenDomain evacuates a failure domain of a cluster of warm servers for a while, and withdraws that.
 func reopenDomain(c *qt.C, seed uint64, slowStart, evacuationLimit time.Duration) *cluster {
 	c.Helper()
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -71,7 +71,7 @@
 	// zero means that it is not bounded.
 	Evacuation Duration `json:"Evacuation"`
 	// A backend server in slow start gets at most SlowStartOvershoot times the rate that its service states, and
-	// SlowStartSlack more, new flows in any second. Both are zero where this is not bounded.
+	// SlowStartSlack more, new flows in any second. This is not bounded where either is zero.
 	SlowStartOvershoot float64 `json:"SlowStartOvershoot"`
 	SlowStartSlack     float64 `json:"SlowStartSlack"`
 }
