Do not ask instances for what they do not have

While the store was down, an instance with an incomplete configuration asked the instance with the same version for it again and again, which has nothing to add. It now asks only for a version that it lacks.

TestConfigurationThatSomeUnderstand checks it and failed before; core/entry passes.

--- a/core/entry/configread.go
+++ b/core/entry/configread.go
@@ -70,8 +70,8 @@
 		return
 	}
 	if reading.pending {
-		if state.now-reading.startedAt >= state.readTime(_configReadFraction) && reading.holder.IsValid() {
-			state.fetch(reading.holder)
+		if state.now-reading.startedAt >= state.readTime(_configReadFraction) {
+			state.askHolder()
 		}
 		return
 	}
@@ -104,11 +104,19 @@
 	reading := &state.configReading
 	reading.retryAt = state.now + backoff(reading.failures, state.config.Random())
 	reading.failures++
-	if reading.holder.IsValid() {
-		state.fetch(reading.holder)
-		return
+	if !state.askHolder() {
+		state.dropLostConfig()
+	}
+}
+
+// askHolder asks an instance that has the missing configuration, and reports whether it knows one. An instance that has
+// the same version has nothing to add to an incomplete one.
+func (state *State) askHolder() bool {
+	if !state.configReading.holder.IsValid() || state.missingConfig() == 0 {
+		return false
 	}
-	state.dropLostConfig()
+	state.fetch(state.configReading.holder)
+	return true
 }
 
 // dropLostConfig no longer expects a configuration that neither the store nor its holder has. If another instance still
--- a/core/entry/configread_test.go
+++ b/core/entry/configread_test.go
@@ -92,6 +92,9 @@
 		started := cluster.addNode("c", 3, 61)
 		cluster.runFor(3 * time.Second)
 		c.Assert(started.state.catalog.Routes().Incomplete, qt.IsTrue)
+		asked := started.state.fetching.askedAt
+		cluster.runFor(3 * time.Second)
+		c.Assert(started.state.fetching.askedAt, qt.Equals, asked, qt.Commentf("asks an instance that has no more"))
 		cluster.store.refused["c-3"] = false
 		cluster.runFor(_drainLimit)
 		assertRoutes(c, cluster)
