--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -32,6 +32,8 @@
 	// for which the operator has withdrawn that request.
 	Evacuated id.Domain `cbor:"8,keyasint,omitempty"`
 	Reopened  id.Domain `cbor:"9,keyasint,omitempty"`
+	// Age is how long ago the sender of a view learned of the withdrawal that Reopened names. It is zero elsewhere.
+	Age time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Record is the last known registration of a backend server and whether it still exists.
@@ -98,8 +100,9 @@
 	// sorted holds the servers by name, or nil if it has to be rebuilt.
 	sorted    []*Record
 	instances map[id.Instance]instanceRecord
-	// evacuations holds the requested and, for a while, the withdrawn evacuations.
+	// evacuations holds the requested and, for a while, the withdrawn evacuations. requested is the number of the former.
 	evacuations map[id.Domain]Evacuation
+	requested   int
 
 	routes   route.Config
 	deltas   []route.Delta
@@ -138,29 +141,39 @@
 	return catalog.routes
 }
 
-// ApplyConfig puts a configuration in force unless it is older than the one that is, and reports whether it did. Parts
-// of it that could not be understood stay as they are.
+// ApplyConfig puts a configuration in force and reports whether it did: it has to be newer than the one in force, or
+// the complete one of the same version. Parts of it that could not be understood stay as they are.
 func (catalog *Catalog) ApplyConfig(config route.Config) bool {
-	if config.Version <= catalog.routes.Version {
+	completes := config.Version == catalog.routes.Version && catalog.routes.Incomplete && !config.Incomplete
+	if config.Version <= catalog.routes.Version && !completes {
 		return false
 	}
 	config = config.KeepUnreadable(catalog.routes)
-	if catalog.routes.Version > 0 {
-		catalog.keepDelta(route.Diff(catalog.routes, config))
+	catalog.putInForce(config, route.Diff(catalog.routes, config))
+	return true
+}
+
+// putInForce replaces the configuration in force, and retains the delta to the new one for other instances. A delta
+// from or to an incomplete configuration is not retained: other instances may understand what this one does not, and
+// would not read it from the store once they have the version.
+func (catalog *Catalog) putInForce(config route.Config, delta route.Delta) {
+	if catalog.routes.Version == 0 || catalog.routes.Incomplete || config.Incomplete {
+		catalog.deltas = nil
+	} else {
+		catalog.keepDelta(delta)
 	}
 	catalog.routes = config
-	return true
 }
 
 // ApplyDelta applies a delta to the configuration in force. It reports whether it did: the delta has to begin at the
-// version in force and lead to a newer one.
+// version in force and lead to a newer one. A configuration that was incomplete stays so, as the delta may lack what
+// was not understood.
 func (catalog *Catalog) ApplyDelta(delta route.Delta) bool {
 	config, ok := delta.Apply(catalog.routes)
 	if !ok || config.Version <= catalog.routes.Version {
 		return false
 	}
-	catalog.keepDelta(delta)
-	catalog.routes = config
+	catalog.putInForce(config, delta)
 	return true
 }
 
@@ -264,8 +277,9 @@
 	return nil, true
 }
 
-// Entries returns all existing registrations and evacuations, sorted by name, for an instance with an empty catalog.
-func (catalog *Catalog) Entries() []Entry {
+// Entries returns all existing registrations, and all evacuations with those withdrawn recently, sorted by name, for an
+// instance with an empty catalog.
+func (catalog *Catalog) Entries(now time.Duration) []Entry {
 	var entries []Entry
 	for _, record := range catalog.Servers() {
 		if !record.Missing {
@@ -280,7 +294,7 @@
 			})
 		}
 	}
-	return append(entries, catalog.evacuationEntries()...)
+	return append(entries, catalog.evacuationEntries(now)...)
 }
 
 // Servers returns the backend servers that are registered or retained, sorted by name. The caller must not change
@@ -376,7 +390,7 @@
 	case entry.Evacuated != "":
 		return catalog.evacuate(interval, entry.Evacuated, entry.Revision)
 	case entry.Reopened != "":
-		return catalog.reopen(interval, entry.Reopened, entry.Revision)
+		return catalog.reopen(interval, entry)
 	default:
 		// An instance of another version may have dropped a field that it does not know.
 		return false
--- a/core/catalog/evacuation.go
+++ b/core/catalog/evacuation.go
@@ -10,6 +10,10 @@
 	"azureshift/core/store"
 )
 
+// _maxWithdrawn is the number of withdrawn evacuations that are retained for failure domains without servers. Anyone
+// may write and remove any number of keys.
+const _maxWithdrawn = 256
+
 // Evacuation is the last known state of the operator's request that no new flow be sent to the backend servers of a
 // failure domain.
 type Evacuation struct {
@@ -33,6 +37,11 @@
 	return requested
 }
 
+// CountEvacuations returns the number of evacuations that are requested.
+func (catalog *Catalog) CountEvacuations() int {
+	return catalog.requested
+}
+
 // Evacuation returns the last known state of the evacuation of a failure domain, and false if none is known.
 func (catalog *Catalog) Evacuation(domain id.Domain) (Evacuation, bool) {
 	evacuation, ok := catalog.evacuations[domain]
@@ -52,12 +61,18 @@
 	return evacuation.ChangedAt, evacuation.Withdrawn
 }
 
-// evacuationEntries returns the entries of the requested evacuations.
-func (catalog *Catalog) evacuationEntries() []Entry {
-	requested := catalog.Evacuations()
-	entries := make([]Entry, 0, len(requested))
-	for _, evacuation := range requested {
-		entries = append(entries, Entry{Revision: evacuation.Revision, Evacuated: evacuation.Domain})
+// evacuationEntries returns the entries of the requested evacuations and of those that were withdrawn recently, sorted
+// by failure domain. An instance that has missed a withdrawal would take servers in slow start to be warm.
+func (catalog *Catalog) evacuationEntries(now time.Duration) []Entry {
+	entries := make([]Entry, 0, len(catalog.evacuations))
+	for _, domain := range slices.Sorted(maps.Keys(catalog.evacuations)) {
+		entry := Entry{Revision: catalog.evacuations[domain].Revision}
+		if evacuation := catalog.evacuations[domain]; evacuation.Withdrawn {
+			entry.Reopened, entry.Age = domain, now-evacuation.ChangedAt
+		} else {
+			entry.Evacuated = domain
+		}
+		entries = append(entries, entry)
 	}
 	return entries
 }
@@ -91,25 +106,55 @@
 		return false
 	}
 	catalog.evacuations[domain] = Evacuation{Domain: domain, Revision: revision, ChangedAt: interval.Now}
+	catalog.requested++
 	return true
 }
 
-// reopen records the withdrawal of an evacuation and reports whether the failure domain was evacuated before.
-func (catalog *Catalog) reopen(interval Interval, domain id.Domain, revision store.Revision) bool {
-	known, ok := catalog.evacuations[domain]
-	if !ok || known.Withdrawn || known.Revision > revision {
+// reopen records the withdrawal of an evacuation, also of one that was not known, as it may have begun and ended while
+// this instance was out of touch. It reports whether the withdrawal is news.
+func (catalog *Catalog) reopen(interval Interval, entry Entry) bool {
+	known, ok := catalog.evacuations[entry.Reopened]
+	if ok && known.Revision > entry.Revision {
 		return false
 	}
-	catalog.evacuations[domain] = Evacuation{
-		Domain: domain, Revision: revision, Withdrawn: true, ChangedAt: interval.Now,
+	changedAt := interval.Now - entry.Age
+	if ok && known.Withdrawn {
+		// Only views have ages. One with a later withdrawal shows that the failure domain was evacuated again meanwhile.
+		if entry.Age == 0 || entry.Revision == known.Revision {
+			return false
+		}
+		changedAt = max(changedAt, known.ChangedAt)
+	}
+	if ok && !known.Withdrawn {
+		catalog.requested--
+	}
+	catalog.evacuations[entry.Reopened] = Evacuation{
+		Domain: entry.Reopened, Revision: entry.Revision, Withdrawn: true, ChangedAt: changedAt,
 	}
 	return true
 }
 
 // forgetWithdrawn removes evacuations that were withdrawn longer ago than a flow may last. Until then, a message that
-// is late cannot bring them back.
+// is late cannot bring them back. Of failure domains without servers it retains only the last _maxWithdrawn.
 func (catalog *Catalog) forgetWithdrawn(now time.Duration) {
 	maps.DeleteFunc(catalog.evacuations, func(_ id.Domain, evacuation Evacuation) bool {
 		return evacuation.Withdrawn && now-evacuation.ChangedAt > catalog.config.MaxFlowLife
 	})
+	if len(catalog.evacuations)-catalog.requested <= _maxWithdrawn {
+		return
+	}
+	domains := make(map[id.Domain]bool)
+	for _, record := range catalog.servers {
+		domains[record.Domain] = true
+	}
+	var unused []Evacuation
+	for _, evacuation := range catalog.evacuations {
+		if evacuation.Withdrawn && !domains[evacuation.Domain] {
+			unused = append(unused, evacuation)
+		}
+	}
+	slices.SortFunc(unused, func(left, right Evacuation) int { return cmp.Compare(right.ChangedAt, left.ChangedAt) })
+	for _, evacuation := range unused[min(_maxWithdrawn, len(unused)):] {
+		delete(catalog.evacuations, evacuation.Domain)
+	}
 }
--- a/core/catalog/evacuation_test.go
+++ b/core/catalog/evacuation_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,8 @@
 
 	"azureshift/core/id"
 	"azureshift/core/store"
+	"azureshift/core/target"
+	"azureshift/standin/budget"
 )
 
 func evacuated(domain id.Domain, revision store.Revision) Entry {
@@ -75,7 +78,7 @@
 	c.Run("reach an instance with an empty catalog", func(c *qt.C) {
 		catalog, started := newCatalog(), newCatalog()
 		catalog.ApplyChanges(Interval{}, 0, []Entry{evacuated("b", 1), evacuated("a", 2), reopened("b", 3)}, 3)
-		started.ApplyListing(Interval{}, catalog.Entries(), catalog.Revision())
+		started.ApplyListing(Interval{}, catalog.Entries(0), catalog.Revision())
 		assertEvacuated(c, started, "a")
 	})
 	c.Run("are not seen in entries whose fields an older instance has dropped", func(c *qt.C) {
@@ -123,3 +126,83 @@
 		assertReopened(c, 0, false)
 	})
 }
+
+// TestReopenedInViews guards against an instance that starts, or was out of touch, shortly after the withdrawal of an
+// evacuation and takes the servers of the failure domain to be warm.
+func TestReopenedInViews(t *testing.T) {
+	c := qt.New(t)
+	// The clocks of instances differ.
+	const clockStep = time.Hour
+	informed, other := newCatalog(), newCatalog()
+	show := func() {
+		other.ApplyListing(Interval{Now: clockStep + 8*time.Second}, informed.Entries(8*time.Second), informed.Revision())
+	}
+	assertReopened := func(c *qt.C, since time.Duration) {
+		c.Helper()
+		reopenedAt, ok := other.Reopened("a")
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(reopenedAt, qt.Equals, since)
+	}
+	informed.ApplyChanges(Interval{Now: time.Second}, 0, []Entry{evacuated("a", 1)}, 1)
+	informed.ApplyChanges(Interval{Now: 5 * time.Second}, 1, []Entry{reopened("a", 2)}, 2)
+	c.Run("of an instance that did not know of the evacuation", func(c *qt.C) {
+		show()
+		assertEvacuated(c, other)
+		assertReopened(c, clockStep+5*time.Second)
+	})
+	c.Run("of an instance that knows of an earlier one", func(c *qt.C) {
+		informed.ApplyChanges(Interval{Now: 6 * time.Second}, 2, []Entry{evacuated("a", 3)}, 3)
+		informed.ApplyChanges(Interval{Now: 7 * time.Second}, 3, []Entry{reopened("a", 4)}, 4)
+		show()
+		assertReopened(c, clockStep+7*time.Second)
+	})
+	c.Run("among changes, some of which are from before a listing", func(c *qt.C) {
+		other = newCatalog()
+		other.ApplyListing(Interval{Now: clockStep}, nil, 3)
+		other.ApplyChanges(Interval{Now: clockStep + time.Second}, 3, []Entry{reopened("a", 4)}, 4)
+		assertReopened(c, clockStep+time.Second)
+	})
+}
+
+// TestManyEvacuations guards against keys that anyone may write, for failure domains that have no servers, using up the
+// memory of an instance, or its processor time whenever a table is built.
+func TestManyEvacuations(t *testing.T) {
+	c := qt.New(t)
+	const count = 20_000
+	name := func(number int) id.Domain { return id.Domain(fmt.Sprintf("%0200d", number)) }
+	c.Run("withdrawn ones are forgotten, but not of failure domains with servers", func(c *qt.C) {
+		catalog := newCatalog()
+		registered := server("i-1", target.StateReady, 1)
+		registered.Server.Domain = "a"
+		catalog.ApplyListing(Interval{}, []Entry{registered, evacuated("a", 2)}, 2)
+		catalog.ApplyChanges(Interval{Now: 1}, 2, []Entry{reopened("a", 3)}, 3)
+		for number := range count {
+			base := catalog.Revision()
+			changes := []Entry{evacuated(name(number), base+1), reopened(name(number), base+2)}
+			catalog.ApplyChanges(Interval{Now: time.Duration(number)}, base, changes, base+2)
+		}
+		catalog.RemoveExpired(count)
+		c.Assert(len(catalog.evacuations) <= _maxWithdrawn+1, qt.IsTrue, qt.Commentf("%d", len(catalog.evacuations)))
+		for _, domain := range []id.Domain{"a", name(count - 1)} {
+			_, ok := catalog.Reopened(domain)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%s", domain))
+		}
+	})
+	c.Run("requested ones are counted at no cost", func(c *qt.C) {
+		catalog := newCatalog()
+		entries := make([]Entry, 0, count)
+		for number := range count {
+			entries = append(entries, evacuated(name(number), store.Revision(number+1)))
+		}
+		catalog.ApplyListing(Interval{}, entries, count)
+		catalog.ApplyChanges(Interval{}, count, []Entry{reopened(name(0), count+1), evacuated(name(1), count+2)}, count+2)
+		catalog.ApplyChanges(Interval{}, count+2, []Entry{reopened("a", count+3)}, count+3)
+		c.Assert(catalog.CountEvacuations(), qt.Equals, len(catalog.Evacuations()))
+		const tables = 1000
+		budget.AssertCheap(c, func() {
+			for range tables {
+				catalog.CountEvacuations()
+			}
+		})
+	})
+}
--- a/core/entry/configread.go
+++ b/core/entry/configread.go
@@ -18,7 +18,9 @@
 	newest route.Version
 	holder netip.AddrPort
 	// lost says that the store had an older version when it was last read, as it was restored from a backup.
-	lost     bool
+	lost bool
+	// unread says that the configuration in force is incomplete and from another instance. This one may understand more.
+	unread   bool
 	failures int
 	retryAt  time.Duration
 }
@@ -48,24 +50,36 @@
 	}
 }
 
-// readConfigIfDue reads the configuration that this instance lacks. It asks the store, which has the most bandwidth.
-// If the store does not answer this instance, takes long, or lacks the version, it asks an instance that has it. It
-// tries again until it has the version: no later change brings it.
+// configureFrom puts the configuration of another instance in force. If that instance did not understand all of it,
+// this one reads it from the store as well, as the same version in an update would not bring the rest.
+func (state *State) configureFrom(config *route.Config) {
+	if config.Incomplete && config.Version > state.catalog.Routes().Version {
+		state.configReading.unread = true
+	}
+	state.configure(config)
+}
+
+// readConfigIfDue reads the configuration that this instance lacks or has from an instance that did not understand all
+// of it. It asks the store, which has the most bandwidth. If the store does not answer this instance, takes long, or
+// lacks the version, it asks an instance that has it. It tries again until it has the version: no later change brings
+// it.
 func (state *State) readConfigIfDue() {
 	reading := &state.configReading
-	if state.missingConfig() == 0 || !state.informed() {
+	reading.unread = reading.unread && state.catalog.Routes().Incomplete
+	if state.missingConfig() == 0 && !reading.unread || !state.informed() {
 		return
 	}
 	if reading.pending {
-		if state.now-reading.startedAt >= state.readTime(_configReadFraction) && reading.holder.IsValid() {
-			state.fetch(reading.holder)
+		if state.now-reading.startedAt >= state.readTime(_configReadFraction) {
+			state.askHolder()
 		}
 		return
 	}
 	if state.now < reading.retryAt {
 		return
 	}
-	if state.reading.storeLost {
+	// An instance with fresh updates reads nothing else from the store that would show that the store is back.
+	if state.reading.storeLost && !reading.unread {
 		state.retryConfigRead()
 		return
 	}
@@ -77,7 +91,8 @@
 func (state *State) handleConfigRead(event ConfigRead) {
 	state.configReading.pending = false
 	state.configure(event.Config)
-	if state.missingConfig() != 0 {
+	state.configReading.unread = state.configReading.unread && event.Config == nil
+	if state.missingConfig() != 0 || state.configReading.unread {
 		// An answer to a read from before the newest version was known says nothing about that.
 		state.configReading.lost = event.Config != nil && state.configReading.wanted == state.configReading.newest
 		state.retryConfigRead()
@@ -89,11 +104,19 @@
 	reading := &state.configReading
 	reading.retryAt = state.now + backoff(reading.failures, state.config.Random())
 	reading.failures++
-	if reading.holder.IsValid() {
-		state.fetch(reading.holder)
-		return
+	if !state.askHolder() {
+		state.dropLostConfig()
+	}
+}
+
+// askHolder asks an instance that has the missing configuration, and reports whether it knows one. An instance that has
+// the same version has nothing to add to an incomplete one.
+func (state *State) askHolder() bool {
+	if !state.configReading.holder.IsValid() || state.missingConfig() == 0 {
+		return false
 	}
-	state.dropLostConfig()
+	state.fetch(state.configReading.holder)
+	return true
 }
 
 // dropLostConfig no longer expects a configuration that neither the store nor its holder has. If another instance still
