Place flows by the load that they bring, where a setting or unequal servers ask for it

Cause: loads are half a second old, arrive 0.6 s late and average a few requests, and all instances choose at once. Long-lived flows stay where chance put them, and single-request flows go by the same noisy figures.

Where Placement.EvenLoad is set, or the usual latencies of a service's servers have differed by more than a third for ten seconds, a new flow goes to a server with a chance in proportion to what it lacks to the level that all servers reach together. The speed of a server follows some hundreds of answers, bounded against tails and shrunk by what chance may explain. Flows leave a failure domain by expected wait against the network's latency.

--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -316,7 +316,8 @@
 	state.relaying.loads = state.relaying.loads[:0:0]
 	for _, observation := range observations {
 		// A server that has become idle is reported once more.
-		if observation.InProgress > 0 || observation.Answers > 0 || observation.Refused > 0 || wasBusy[observation.Cookie] {
+		isUsed := observation.InProgress > 0 || observation.Answers > 0 || observation.Refused > 0 || observation.Held > 0
+		if isUsed || wasBusy[observation.Cookie] {
 			state.relaying.loads = append(state.relaying.loads, fleet.LoadOf(observation))
 		}
 		state.observeServer(observation)
--- a/core/fleet/averages.go
+++ b/core/fleet/averages.go
@@ -54,6 +54,9 @@
 	// serviceTime is how long the server runs a request, without the time in its queue, last updated at serviceTimeAt.
 	serviceTime   time.Duration
 	serviceTimeAt time.Duration
+	// held is the last reported number of long-lived flows in use.
+	held  float64
+	habit habit
 }
 
 // Update updates the estimates with reported loads.
@@ -73,6 +76,8 @@
 		average.answeredBusy = float64(load.Answers) * float64(load.Latency) / float64(steer.ReportInterval)
 		average.answers = float64(load.Answers)
 		average.updateServiceTime(now, load, loadEstimates.Slots(load.Cookie))
+		average.held = float64(load.Held)
+		average.habit.update(now, load, loadEstimates.Slots(load.Cookie))
 		loadEstimates.byCookie[load.Cookie] = average
 	}
 }
@@ -109,11 +114,12 @@
 	if now-average.loadAt <= _loadTTL {
 		measure.SmoothedInProgress, measure.LatestInProgress, measure.AnsweredInProgress =
 			average.smoothedBusy, average.latestBusy, average.answeredBusy
-		measure.Answers = average.answers
+		measure.Answers, measure.Held = average.answers, average.held
 	}
 	if now-average.serviceTimeAt <= loadEstimates.serviceTimeTTL(cookie) {
 		measure.ServiceTime, measure.MeasuredAt = average.serviceTime, average.serviceTimeAt
 	}
+	measure.Habit = average.habit.Habit
 	return measure
 }
 
--- a/core/fleet/encoding.go
+++ b/core/fleet/encoding.go
@@ -12,7 +12,7 @@
 
 // wireLoad is the compact encoding of a Load: its fields in the order of the constants below. Loads make up most of the
 // traffic between instances, and comparing servers by load needs no finer resolution than a hundredth of a request and
-// a millisecond. The last field is omitted if it is zero, and additional fields, as later versions may send, are
+// a millisecond. The last fields are omitted if they are zero, and additional fields, as later versions may send, are
 // ignored.
 type wireLoad []uint32
 
@@ -23,12 +23,15 @@
 	_wireLatencyMillis
 	_wireAnswers
 	_wireRefused
+	_wireHeld
 )
 
 const (
 	_hundredthsPerRequest = 100
 	// _maxBusy is the greatest number of requests in progress that is encoded.
 	_maxBusy = 1e6
+	// _maxHeld is the greatest number of held flows that is encoded. It takes three bytes.
+	_maxHeld = math.MaxUint16
 )
 
 var (
@@ -45,9 +48,10 @@
 		_wireLatencyMillis:  uint32(min(max(load.Latency.Round(time.Millisecond).Milliseconds(), 0), math.MaxUint32)),
 		_wireAnswers:        clampCount(load.Answers),
 		_wireRefused:        clampCount(load.Refused),
+		_wireHeld:           min(clampCount(load.Held), _maxHeld),
 	}
-	if load.Refused <= 0 {
-		fields = fields[:_wireRefused]
+	for len(fields) > _wireRefused && fields[len(fields)-1] == 0 {
+		fields = fields[:len(fields)-1]
 	}
 	raw, err := cbor.Marshal(fields)
 	return raw, eris.Wrap(err, "encode load")
@@ -71,6 +75,9 @@
 	if len(fields) > _wireRefused {
 		load.Refused = int(min(fields[_wireRefused], math.MaxInt32))
 	}
+	if len(fields) > _wireHeld {
+		load.Held = int(min(fields[_wireHeld], _maxHeld))
+	}
 	return nil
 }
 
--- a/core/fleet/encoding_test.go
+++ b/core/fleet/encoding_test.go
@@ -28,12 +28,19 @@
 		_, without := roundTrip(Load{Cookie: 7, Answers: 12})
 		c.Assert(size-without <= 2, qt.IsTrue, qt.Commentf("%d bytes more", size-without))
 	})
+	c.Run("keeps held flows", func(c *qt.C) {
+		received, size := roundTrip(Load{Cookie: 7, Answers: 12, Held: 23})
+		c.Assert(received, qt.Equals, Load{Cookie: 7, Answers: 12, Held: 23})
+		_, without := roundTrip(Load{Cookie: 7, Answers: 12})
+		c.Assert(size-without <= 2, qt.IsTrue, qt.Commentf("%d bytes more", size-without))
+	})
 	c.Run("ignores unknown fields of later versions", func(c *qt.C) {
-		raw, err := cbor.Marshal([]uint32{7, 150, 45, 12, 3, 99})
+		raw, err := cbor.Marshal([]uint32{7, 150, 45, 12, 3, 23, 99})
 		c.Assert(err, qt.IsNil)
 		var received Load
 		c.Assert(cbor.Unmarshal(raw, &received), qt.IsNil)
 		c.Assert(received.Refused, qt.Equals, 3)
+		c.Assert(received.Held, qt.Equals, 23)
 	})
 	c.Run("rejects a load with missing fields", func(c *qt.C) {
 		var received Load
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -57,6 +57,8 @@
 	Answers int
 	// Refused is the number of flows that were refused under overload and would have gone to the server.
 	Refused int
+	// Held is the number of long-lived flows that clients use on the server.
+	Held int
 }
 
 // Report goes from an instance to the one that it gets its updates from. Its loads include those reported to the
@@ -102,6 +104,7 @@
 		Latency:    observation.Latency,
 		Answers:    observation.Answers,
 		Refused:    observation.Refused,
+		Held:       observation.Held,
 	}
 }
 
@@ -114,6 +117,7 @@
 	}
 	load.Answers = answers
 	load.Refused += other.Refused
+	load.Held += other.Held
 	load.InProgress += other.InProgress
 	return load
 }
--- a/core/steer/demand.go
+++ b/core/steer/demand.go
@@ -58,6 +58,7 @@
 	handshake time.Duration
 	// forecast is the last forecast of the load.
 	forecast forecast
+	even     evenState
 }
 
 // demandCounts are counts of new flows and of requests, with exponential decay.
@@ -119,13 +120,15 @@
 	return counts.singleRequestShare() < _minReusedShare
 }
 
-// countOpened counts a flow that was opened.
-func (demand *demand) countOpened(now time.Duration, configured *route.Route) {
+// countOpened counts a flow that was opened, and reports whether it is expected to be persistent.
+func (demand *demand) countOpened(now time.Duration, configured *route.Route) bool {
 	counts := demand.counts(now, configured)
 	counts.opened++
-	if counts.persistent() {
-		demand.unmeasured.increment(now, _unmeasuredTimeConstant)
+	if !counts.persistent() {
+		return false
 	}
+	demand.unmeasured.increment(now, _unmeasuredTimeConstant)
+	return true
 }
 
 // countRequest counts a request, on a new flow or on an open one.
--- /dev/null
+++ b/core/steer/even.go
@@ -0,0 +1,343 @@
+package steer
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"azureshift/core/packet"
+)
+
+const (
+	// _evenRefresh is how long the chances of the servers are used, and _evenRefreshPerServer makes it longer with many
+	// servers: computing them takes about a tenth of a microsecond a server.
+	_evenRefresh          = 50 * time.Millisecond
+	_evenRefreshPerServer = 70 * time.Microsecond
+	// _openedWindow is the time until the reports of all instances show the effect of a new long-lived flow.
+	_openedWindow = 1500 * time.Millisecond
+	// _unseenFlows is added to the flows that this instance opened in that time, as the count of a few is mostly noise.
+	_unseenFlows = 0.5
+	// _goldenStep is the step of the sequence that spreads an instance's choices: the fractional part of the golden ratio.
+	_goldenStep = 0.6180339887498949
+	// _minSpeed and _maxSpeed bound the learnt speed of a server, as a multiple of that of the median. A server that seems
+	// faster is likely to reject requests.
+	_minSpeed = 0.1
+	_maxSpeed = 2.5
+	// _unusualRatio is the ratio of the recent service time of a server to its usual one from which on it is avoided: a
+	// half second with one long request among three stays below it.
+	_unusualRatio = 3
+	// _rejectingRatio is the ratio below which a server is taken to reject requests.
+	_rejectingRatio = 0.4
+	// _crossDomainRoundTrip is what a request to another failure domain costs in addition.
+	_crossDomainRoundTrip = 1800 * time.Microsecond
+	// _balanceSteps is the number of bisections that find the share of flows to place elsewhere, exact to 0.1 %.
+	_balanceSteps = 10
+)
+
+// evenState is what one instance keeps to even out the load of one service.
+type evenState struct {
+	// draws is the number of flows placed, and start the beginning of the sequence of choices, which differs between
+	// instances.
+	draws int
+	start float64
+	// opened is the number of persistent flows placed in the last _openedWindow.
+	opened decayingCount
+	// choices holds the chances of the servers of each failure domain, for single-request and for persistent flows.
+	choices []evenChoice
+	// away is the share of flows that go to the failure domain at awayIndex, computed at awayAt.
+	away      float64
+	awayIndex int
+	awayAt    time.Duration
+	awayTable *Table
+}
+
+// evenChoice holds the cumulative chances of the servers of a failure domain.
+type evenChoice struct {
+	table      *Table
+	at         time.Duration
+	cumulative []float64
+}
+
+// next returns the next number from 0 to 1 of an evenly spread sequence, so that the flows of one instance reach each
+// server in proportion to its chance.
+func (evenState *evenState) next(hash uint64) float64 {
+	if evenState.draws == 0 {
+		evenState.start = hashFraction(hash, _serverSalt)
+	}
+	evenState.draws++
+	_, fraction := math.Modf(evenState.start + float64(evenState.draws)*_goldenStep)
+	return fraction
+}
+
+// FillLevel returns the level to which an amount raises the loads of servers, like water in basins: the sum over all
+// servers of max(0, level x capacity - load) is the amount. Servers above the level get nothing. It is zero without
+// capacity.
+//
+// It answers figures that are out of date while many instances choose at once: an instance does not look for the least
+// loaded server, which all others look for too, but for the distribution of everything that is placed until new figures
+// arrive. The older the figures, the greater the amount, and the closer the chances are to the capacities alone.
+func FillLevel(loads, capacities []float64, amount float64) float64 {
+	level := math.Inf(1)
+	for {
+		load, capacity := amount, 0.0
+		for index := range loads {
+			if loads[index] < level*capacities[index] {
+				load += loads[index]
+				capacity += capacities[index]
+			}
+		}
+		if capacity == 0 {
+			return 0
+		}
+		next := load / capacity
+		if next >= level {
+			return level
+		}
+		level = next
+	}
+}
+
+// ExpectedWait returns the average time that a request waits at servers with a number of slots each, at a utilisation
+// of these, by Sakasegawa's approximation for M/M/c queues. At full utilisation it is about that of 0.98.
+func ExpectedWait(serviceTime time.Duration, utilisation, slots float64) time.Duration {
+	const maxUtilisation = 0.98
+	utilisation = min(max(utilisation, 0), maxUtilisation)
+	slots = max(slots, 1)
+	queued := math.Pow(utilisation, math.Sqrt(2*(slots+1))-1) / (slots * (1 - utilisation))
+	return time.Duration(float64(serviceTime) * queued)
+}
+
+// ZoneLoad is the load of the servers of a failure domain.
+type ZoneLoad struct {
+	// Utilisation is the part of the slots in use, and Slots the number of slots. Servers is the number of servers.
+	Utilisation float64
+	Slots       float64
+	Servers     int
+}
+
+// wait returns the expected wait with a change in the number of slots in use.
+func (zoneLoad ZoneLoad) wait(serviceTime time.Duration, change float64) time.Duration {
+	if zoneLoad.Slots == 0 {
+		return math.MaxInt64
+	}
+	slots := zoneLoad.Slots / float64(max(zoneLoad.Servers, 1))
+	return ExpectedWait(serviceTime, zoneLoad.Utilisation+change/zoneLoad.Slots, slots)
+}
+
+// AwayShare returns the share of the flows of one failure domain that are better placed in another: as many as make the
+// wait in both differ by what the way to the other one costs, or none if the difference is smaller. It answers clients
+// that move between failure domains, waves with another phase in each, and servers that leave one: flows leave only
+// while requests wait, and stay again afterwards.
+func AwayShare(own, other ZoneLoad, serviceTime, cost time.Duration) float64 {
+	gain := func(share float64) time.Duration {
+		moved := share * own.Utilisation * own.Slots
+		return own.wait(serviceTime, -moved) - other.wait(serviceTime, moved) - cost
+	}
+	if other.Slots == 0 || own.Slots > 0 && gain(0) <= 0 {
+		return 0
+	}
+	low, high := 0.0, 1.0
+	for range _balanceSteps {
+		middle := (low + high) / 2
+		if gain(middle) > 0 {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// chooseEven chooses a server for a new flow by the load that flows bring. A retransmission goes to the next server in
+// the flow's order, as do all flows where no server has a chance.
+func (steering *Steering) chooseEven(
+	now time.Duration, pool *Pool, hash uint64, header packet.Header, persistent bool,
+) *Server {
+	even := &steering.demandOf(pool.Service).even
+	zoneIndex := steering.chooseEvenZone(now, pool, even, hash, persistent)
+	zone := &pool.Zones[zoneIndex]
+	cumulative := steering.chances(now, pool, even, zoneIndex, persistent)
+	total := cumulative[len(cumulative)-1]
+	if header.Acknowledged > 0 || total <= 0 {
+		return steering.chooseServer(now, pool, zone, hash, int(header.Acknowledged), persistent)
+	}
+	drawn := even.next(hash) * total
+	chosen := sort.Search(len(cumulative)-1, func(index int) bool { return cumulative[index] > drawn })
+	if persistent {
+		even.opened.increment(now, _openedWindow)
+	}
+	return zone.Servers[chosen]
+}
+
+// chances returns the cumulative chances of the servers of a failure domain, which are computed anew once they are old.
+func (steering *Steering) chances(
+	now time.Duration, pool *Pool, even *evenState, zoneIndex int, persistent bool,
+) []float64 {
+	for len(even.choices) < 2*len(pool.Zones) {
+		even.choices = append(even.choices, evenChoice{})
+	}
+	choice := &even.choices[2*zoneIndex]
+	if persistent {
+		choice = &even.choices[2*zoneIndex+1]
+	}
+	zone := &pool.Zones[zoneIndex]
+	refresh := max(_evenRefresh, time.Duration(len(zone.Servers))*_evenRefreshPerServer)
+	if choice.table == steering.table && now-choice.at < refresh && len(choice.cumulative) == len(zone.Servers) {
+		return choice.cumulative
+	}
+	choice.table, choice.at = steering.table, now
+	choice.cumulative = steering.computeChances(now, pool, zone, choice.cumulative[:0], persistent)
+	return choice.cumulative
+}
+
+// computeChances appends the cumulative chances of the servers of a failure domain. Persistent flows fill up the held
+// flows, with those that all instances open until the figures show them. Single-request flows fill up the requests on
+// held flows, with those on single-request flows; both are in units of the requests on one held flow.
+func (steering *Steering) computeChances(
+	now time.Duration, pool *Pool, zone *Zone, cumulative []float64, persistent bool,
+) []float64 {
+	demand := steering.demandOf(pool.Service)
+	loads, capacities := make([]float64, len(zone.Servers)), make([]float64, len(zone.Servers))
+	held := 0.0
+	for index, server := range zone.Servers {
+		loads[index] = steering.table.Measure(server).Held
+		if counters, ok := steering.counters[server.Cookie]; ok && persistent {
+			loads[index] += counters.recentlyOpened.value(now, _openedTimeConstant)
+		}
+		capacities[index] = steering.evenCapacity(pool, server)
+		held += loads[index]
+	}
+	var amount float64
+	if persistent {
+		opened := demand.even.opened.value(now, _openedWindow)
+		amount = (opened + _unseenFlows) * float64(max(steering.table.LiveInstances, 1))
+	} else {
+		amount = held * demand.rates.singlePerPersistent()
+	}
+	if amount <= 0 {
+		clear(loads)
+		amount = 1
+	}
+	level, sum := FillLevel(loads, capacities, amount), 0.0
+	for index := range loads {
+		sum += max(level*capacities[index]-loads[index], 0)
+		cumulative = append(cumulative, sum)
+	}
+	return cumulative
+}
+
+// singlePerPersistent returns the ratio of requests that open a flow of their own to those on persistent flows.
+func (demandRates *demandRates) singlePerPersistent() float64 {
+	if demandRates.persistent <= 0 {
+		return 0
+	}
+	return max(demandRates.own/demandRates.persistent-1, 0)
+}
+
+// evenCapacity returns the number of slots of a server, in proportion to its speed; zero for a server that is to be
+// avoided.
+func (steering *Steering) evenCapacity(pool *Pool, server *Server) float64 {
+	if steering.table.slow(pool, server) {
+		return 0
+	}
+	handshake := steering.demandOf(pool.Service).handshake
+	return server.capacity() * steering.table.speed(pool, server, handshake)
+}
+
+// speed returns the speed of a server as a multiple of the usual one, given the part of the latencies that is the
+// network's. What chance may explain is left out of the ratio: with few answers, and where the servers are alike, the
+// speed is close to 1 (empirical Bayes estimate). It answers servers of several speeds in one service, of which short
+// averages tell little where a few requests take much longer than the others.
+func (table *Table) speed(pool *Pool, server *Server, network time.Duration) float64 {
+	evenness, habit := table.evenness[pool.typicalIndex], table.Measure(server).Habit
+	if evenness.variance == 0 || habit.UsualLatency <= 0 {
+		return 1
+	}
+	work := func(latency time.Duration) float64 {
+		return float64(max(latency-network, time.Duration(_minWorkShare*float64(latency)), 1))
+	}
+	certainty := evenness.variance / (evenness.variance + habit.chance())
+	speed := math.Pow(work(evenness.usualLatency)/work(habit.UsualLatency), certainty)
+	return min(max(speed, _minSpeed), _maxSpeed)
+}
+
+// unusual reports whether a server has lately been much slower than it usually is, or so much faster that it is taken to
+// reject requests.
+func (table *Table) unusual(pool *Pool, server *Server) bool {
+	measure := table.Measure(server)
+	if measure.ServiceTime == 0 {
+		return false
+	}
+	usual := table.TypicalServiceTime(pool)
+	if measure.known() {
+		usual = measure.UsualLatency
+	}
+	ratio := float64(measure.ServiceTime) / float64(max(usual, 1))
+	return ratio > _unusualRatio || ratio < _rejectingRatio
+}
+
+// chooseEvenZone returns the index of the failure domain for a new flow.
+func (steering *Steering) chooseEvenZone(
+	now time.Duration, pool *Pool, even *evenState, hash uint64, persistent bool,
+) int {
+	if len(pool.Zones) == 1 {
+		return 0
+	}
+	if even.awayTable != steering.table || now-even.awayAt >= _evenRefresh {
+		even.awayTable, even.awayAt = steering.table, now
+		even.awayIndex, even.away = steering.compareZones(pool)
+	}
+	away := even.away
+	if !persistent {
+		away *= _movedSingleShare
+	}
+	if hashFraction(hash, _zoneSalt) < away {
+		return even.awayIndex
+	}
+	return 0
+}
+
+// compareZones returns the index of the least used other failure domain and the share of flows to place there.
+func (steering *Steering) compareZones(pool *Pool) (index int, share float64) {
+	own, other := steering.zoneLoad(pool, &pool.Zones[0]), ZoneLoad{}
+	for candidate := 1; candidate < len(pool.Zones); candidate++ {
+		load := steering.zoneLoad(pool, &pool.Zones[candidate])
+		if load.Slots > 0 && (other.Slots == 0 || load.Utilisation < other.Utilisation) {
+			other, index = load, candidate
+		}
+	}
+	demand := steering.demandOf(pool.Service)
+	work := demand.withoutHandshake(steering.table.TypicalServiceTime(pool))
+	return index, AwayShare(own, other, work, _crossDomainRoundTrip)
+}
+
+// zoneLoad returns the load of a failure domain without servers that are avoided.
+func (steering *Steering) zoneLoad(pool *Pool, zone *Zone) ZoneLoad {
+	var load ZoneLoad
+	inProgress := 0.0
+	for _, server := range zone.Servers {
+		if !steering.table.slow(pool, server) {
+			inProgress += steering.smoothedInProgress(server)
+			load.Slots += server.capacity()
+			load.Servers++
+		}
+	}
+	if load.Slots > 0 {
+		load.Utilisation = inProgress / load.Slots
+	}
+	return load
+}
+
+// heldBy returns the number of long-lived flows that clients use on a server, where the load of its service is evened
+// out.
+func (steering *Steering) heldBy(cookie packet.Cookie, counters *counters) int {
+	server, ok := steering.table.Servers[cookie]
+	if !ok {
+		return 0
+	}
+	pool, ok := steering.table.Pools[server.Service]
+	if !ok || !steering.table.evenness[pool.typicalIndex].enabled {
+		return 0
+	}
+	return counters.held
+}
--- a/core/steer/flow.go
+++ b/core/steer/flow.go
@@ -48,6 +48,8 @@
 	recentlyOpened decayingCount
 	// refused is the number of flows refused since the last report that would have gone to this server.
 	refused int
+	// held is the number of persistent flows that clients used when flows were last counted, or opened since.
+	held int
 	// answers is the number of answers since the last report, and latencySum the sum of their latencies.
 	answers    int
 	latencySum time.Duration
--- a/core/steer/opinion.go
+++ b/core/steer/opinion.go
@@ -48,6 +48,9 @@
 // slow reports whether a server takes much longer than is typical. Such a server gets new flows only if no other server
 // can take them.
 func (table *Table) slow(pool *Pool, server *Server) bool {
+	if table.evenness[pool.typicalIndex].enabled {
+		return table.unusual(pool, server)
+	}
 	return table.serviceTime(pool, server) > _slowRatio*table.TypicalServiceTime(pool)
 }
 
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -49,8 +49,13 @@
 	demand := steering.demandOf(pool.Service)
 	counts := demand.counts(now, configured)
 	persistent := counts.persistent()
-	zone := steering.chooseZone(pool, hash, persistent)
-	server := steering.chooseServer(now, pool, zone, hash, int(header.Acknowledged), persistent)
+	var server *Server
+	if steering.table.evenness[pool.typicalIndex].enabled {
+		server = steering.chooseEven(now, pool, hash, header, persistent)
+	} else {
+		zone := steering.chooseZone(pool, hash, persistent)
+		server = steering.chooseServer(now, pool, zone, hash, int(header.Acknowledged), persistent)
+	}
 	limit := latencyLimit(configured, steering.table.TypicalServiceTime(pool))
 	if limit == 0 {
 		return Decision{Action: Forward, Reason: NewFlow, Server: server}
--- a/core/steer/report.go
+++ b/core/steer/report.go
@@ -20,6 +20,8 @@
 	FlowsOpened int
 	// Refused is the number of flows that were refused under overload and would have gone to the server.
 	Refused int
+	// Held is the number of long-lived flows that clients use. It is counted where the load of the service is evened out.
+	Held int
 	// Answers is the number of answers that began, and Latency their average time to the first byte.
 	Answers int
 	Latency time.Duration
@@ -45,6 +47,7 @@
 			InProgress:      float64(counters.pendingTime) / float64(interval),
 			FlowsOpened:     counters.opened,
 			Refused:         counters.refused,
+			Held:            steering.heldBy(cookie, counters),
 			Answers:         counters.answers,
 			SinceAnswer:     now - counters.answeredAt,
 			Retransmissions: counters.retransmissions,
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -115,7 +115,9 @@
 		decision.StallDetected = steering.recordUnansweredOpening(now, tracked)
 	}
 	steering.addFlow(now, header, decision.Server)
-	steering.demandOf(decision.Server.Service).countOpened(now, configured)
+	if steering.demandOf(decision.Server.Service).countOpened(now, configured) {
+		steering.countersOf(decision.Server.Cookie, now).held++
+	}
 	return decision
 }
 
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -83,6 +83,10 @@
 	MeasuredAt  time.Duration
 	// Answers is the number of answers in the latest reports.
 	Answers float64
+	// Held is the number of long-lived flows that clients use on the server, through all instances.
+	Held float64
+	// Habit is what the answers of some minutes say of the server.
+	Habit
 }
 
 // Pool holds the backend servers of a service that take new flows.
@@ -132,6 +136,8 @@
 	// typicalServiceTimes holds the typical service time of each pool, and reportedTotals the totals of its measures.
 	typicalServiceTimes []time.Duration
 	reportedTotals      []poolTotals
+	// evenness says for each pool whether and how its load is evened out.
+	evenness []poolEvenness
 }
 
 // Add adds a server under its cookie; packets of its flows are forwarded to it.
@@ -154,6 +160,7 @@
 		pool = &Pool{Service: server.Service, typicalIndex: len(table.typicalServiceTimes)}
 		table.typicalServiceTimes = append(table.typicalServiceTimes, _defaultServiceTime)
 		table.reportedTotals = append(table.reportedTotals, poolTotals{})
+		table.evenness = append(table.evenness, poolEvenness{})
 		table.Pools[server.Service] = pool
 	}
 	for index := range pool.Zones {
@@ -189,6 +196,7 @@
 	}
 	updated.typicalServiceTimes = make([]time.Duration, len(table.typicalServiceTimes))
 	updated.reportedTotals = make([]poolTotals, len(table.reportedTotals))
+	updated.evenness = make([]poolEvenness, len(table.evenness))
 	var serviceTimes []time.Duration
 	for _, pool := range table.Pools {
 		serviceTimes = serviceTimes[:0]
@@ -200,6 +208,7 @@
 			}
 		}
 		updated.typicalServiceTimes[pool.typicalIndex] = baselines.update(now, pool.Service, serviceTimes)
+		updated.evenness[pool.typicalIndex] = updated.evaluate(now, baselines, pool)
 		updated.reportedTotals[pool.typicalIndex] = updated.sumMeasures(pool)
 	}
 	return &updated
--- a/core/steer/track.go
+++ b/core/steer/track.go
@@ -163,6 +163,7 @@
 	header := packet.Header{Flow: key, Cookie: tracked.cookie}
 	if demand, configured := steering.demandFor(header); demand != nil && demand.counts(now, configured).persistent() {
 		demand.activeFlows++
+		steering.countersOf(tracked.cookie, now).held++
 	}
 }
 
@@ -211,6 +212,9 @@
 	for _, demand := range steering.demands {
 		demand.activeFlows = 0
 	}
+	for _, counters := range steering.counters {
+		counters.held = 0
+	}
 	for key, tracked := range steering.flows {
 		switch {
 		case now-tracked.lastSeen > max(steering.table.IdleTimeout, _minIdleTimeout),
--- a/core/steer/typical.go
+++ b/core/steer/typical.go
@@ -25,6 +25,7 @@
 // Baselines holds the baseline service time of each service. It is not safe for concurrent use.
 type Baselines struct {
 	baselines map[id.Service]*baseline
+	spreads   map[id.Service]*speedSpread
 }
 
 // baseline is the usual service time of one service, and when it was last updated.
--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"time"
 
 	"azureshift/core/packet"
@@ -36,14 +37,17 @@
 			break
 		}
 	}
-	started := &request{kind: kind, zone: zone, user: simulation.drawUser(zone), started: simulation.clock.Now()}
+	started := &request{kind: kind, zone: zone, user: simulation.drawUser(zone, kind), started: simulation.clock.Now()}
 	simulation.result.recordStart(simulation, started)
 	simulation.clock.After(kind.Timeout, func() { simulation.finish(started, false) })
 	simulation.dispatch(started)
 }
 
 // drawUser returns the user of a request. Their number follows the rate of requests.
-func (simulation *simulation) drawUser(zone int) int {
+func (simulation *simulation) drawUser(zone int, kind *Kind) int {
+	if kind.UserRate > 0 {
+		return simulation.random.IntN(max(int(simulation.zones[zone].rate*kind.Share/kind.UserRate), 1))
+	}
 	if simulation.config.UserRate == 0 {
 		return 0
 	}
@@ -234,7 +238,7 @@
 	if server.zone == zone {
 		return _sameDomainDelay
 	}
-	return _crossDomainDelay
+	return cmp.Or(simulation.config.CrossDomainDelay, _crossDomainDelay)
 }
 
 // dispatchIdeal runs a request at any free server, or appends it to the single queue.
--- a/experiment/load/config.go
+++ b/experiment/load/config.go
@@ -7,6 +7,7 @@
 
 	"azureshift/core/id"
 	"azureshift/core/route"
+	"azureshift/core/steer"
 )
 
 // Zone describes a failure domain of a deployment.
@@ -33,6 +34,10 @@
 	Objective time.Duration
 	Timeout   time.Duration
 	Priority  route.Priority
+	// UserRate is the number of requests per second of one user of this kind; zero is the UserRate of the deployment.
+	UserRate float64
+	// Tail is a part of the requests that takes longer; MeanWork is the mean of the others.
+	Tail Tail
 	// Worth is the weight of a request that is answered in time; zero counts as one.
 	Worth float64
 }
@@ -55,6 +60,12 @@
 	// ColdPeriod is how long a server is slow after its start, and ColdFactor multiplies the service time in it.
 	ColdPeriod time.Duration
 	ColdFactor float64
+	// Speeds are the speeds of the servers of a failure domain, in turn, as multiples of the usual one; empty means that
+	// all are alike. CrossDomainDelay is the one-way delay between failure domains; zero is a default.
+	Speeds           []float64
+	CrossDomainDelay time.Duration
+	// Placement chooses among the ways of package steer to place flows.
+	Placement steer.Placement
 	// UserRate is the number of requests per second of one user. Each user reuses flows of its own, so that a burst of
 	// users opens flows. If it is zero, all clients of a failure domain share their flows.
 	UserRate float64
--- a/experiment/load/result.go
+++ b/experiment/load/result.go
@@ -28,6 +28,7 @@
 	WorstKind   float64
 	// Imbalance is the busy time of the busiest server divided by the mean of all servers.
 	Imbalance float64
+	Evenness  Evenness
 
 	bySecond map[int]*tally
 	byZone   map[int]*tally
@@ -97,6 +98,9 @@
 	result.Requests++
 	result.Owed += request.kind.worth()
 	latency := simulation.clock.Now() - request.started
+	if answered {
+		simulation.evenness.recordLatency(latency)
+	}
 	switch {
 	case !answered:
 		result.Failed++
@@ -118,6 +122,7 @@
 	result.Policy = simulation.policyName
 	result.WorstSecond, result.WorstZone = worstShare(result.bySecond), worstShare(result.byZone)
 	result.WorstKind = worstShare(result.byKind)
+	result.Evenness = simulation.evenness.summarize(simulation.servers)
 	var total, busiest time.Duration
 	for _, server := range simulation.servers {
 		total += server.busyTime
--- a/experiment/load/server.go
+++ b/experiment/load/server.go
@@ -10,6 +10,7 @@
 // server is a backend server with slots, a queue and injected faults.
 type server struct {
 	target.Target
+	arrivals
 	simulation *simulation
 	zone       int
 	// queue holds the requests that wait for a slot, the oldest first.
@@ -29,6 +30,7 @@
 
 // arrive runs, queues or rejects a request. A crashed server does not answer.
 func (server *server) arrive(request *request) {
+	server.countArrival(request)
 	switch {
 	case server.dead:
 		return
@@ -68,6 +70,9 @@
 	if now-server.started < server.simulation.config.ColdPeriod {
 		mean *= server.simulation.config.ColdFactor
 	}
+	if kind.Tail.Share > 0 && server.simulation.random.Float64() < kind.Tail.Share {
+		mean *= kind.Tail.Factor
+	}
 	mu := math.Log(mean) - kind.Spread*kind.Spread/2
 	return time.Duration(math.Exp(mu + kind.Spread*server.simulation.random.NormFloat64()))
 }
--- a/experiment/load/simulation.go
+++ b/experiment/load/simulation.go
@@ -42,6 +42,7 @@
 	lastPort    uint16
 	// idealQueue is the single queue of the ideal policy.
 	idealQueue []*request
+	evenness   evenness
 }
 
 // zone is a failure domain with its instances and clients.
@@ -135,6 +136,9 @@
 		},
 		simulation: simulation, zone: zone, slowdown: 1, started: started, accountedAt: simulation.clock.Now(),
 	}
+	if speeds := simulation.config.Speeds; len(speeds) > 0 {
+		added.slowdown = 1 / speeds[(number-1)%len(speeds)]
+	}
 	simulation.servers = append(simulation.servers, added)
 	simulation.byCookie[packet.Cookie(number)] = added
 	return added
@@ -145,6 +149,7 @@
 	simulation.exchangeLoads()
 	simulation.clock.Every(simulation.config.ExchangeInterval, simulation.exchangeLoads)
 	simulation.clock.Every(time.Second, simulation.sampleLoads)
+	simulation.clock.Every(_evennessWindow, simulation.closeWindow)
 	for index := range simulation.zones {
 		simulation.scheduleArrival(index)
 	}
@@ -213,7 +218,7 @@
 	now := simulation.clock.Now()
 	table := &steer.Table{
 		Version: 1, Routes: simulation.routes, IdleTimeout: 15 * time.Second, ConfirmedAt: now, AllRegistered: true,
-		LiveInstances: simulation.zones[zoneIndex].Instances,
+		LiveInstances: simulation.zones[zoneIndex].Instances, Placement: simulation.config.Placement,
 	}
 	for number, server := range simulation.servers {
 		cookie := packet.Cookie(number + 1)
