Learn speeds from geometric means, compare ways to even load, show the busiest server

Cause: the average latency of a few answers with a tail of 3 % of seven times the work varies so much that the first speeds were wrong by a tenth, and long-lived flows stay where these speeds put them. Operators saw no measure of how evenly a service is used.

Change: where load is evened out, instances report the geometric mean of the latencies of long-lived flows beside the number of these flows; 44 instead of 45 loads fit into a message at the greatest values. `azureshift experiment even` replays six ways of placing flows on the deployments with high load. Gauges busiest_server_ratio and even_load for each service. A server is avoided by its own usual latency, and none where all have become slow.

--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -19,6 +19,7 @@
   requests     waiting time, goodput and imbalance of policies for targets with few slots
   membership   control traffic and failure detection by fleet size
   load         requests answered in time under load patterns, faults and overload, by placement strategy
+  even         load of the busiest server by fleet size and placement strategy, on the deployments with high load
 
 "azureshift experiment NAME -h" shows the flags.
 `
@@ -27,7 +28,7 @@
 
 func runExperiment(args []string, stdout, stderr io.Writer) error {
 	if len(args) == 0 {
-		return cli.Usagef("experiment: name one of placement, requests, membership and load")
+		return cli.Usagef("experiment: name one of placement, requests, membership, load and even")
 	}
 	switch args[0] {
 	case "placement":
@@ -38,11 +39,13 @@
 		return experimentMembership(args[1:], stdout, stderr)
 	case "load":
 		return experimentLoad(args[1:], stdout, stderr)
+	case "even":
+		return experimentEven(args[1:], stdout, stderr)
 	case "-h", "-help", "--help", "help":
 		_, _ = fmt.Fprint(stderr, _experimentUsage)
 		return flag.ErrHelp
 	default:
-		return cli.Usagef("unknown experiment %q; use placement, requests, membership or load", args[0])
+		return cli.Usagef("unknown experiment %q; use placement, requests, membership, load or even", args[0])
 	}
 }
 
@@ -134,3 +137,19 @@
 	}
 	return load.Print(stdout, results)
 }
+
+func experimentEven(args []string, stdout, stderr io.Writer) error {
+	flags := cli.NewFlags("experiment even", "[flags]", stderr)
+	seed := flags.Uint64("seed", 1, "seed of all random choices")
+	largest := flags.Int("largest", _evenLargest, "size of the largest fleet to measure; 2029 takes minutes")
+	if err := cli.ParseFlags(flags, args, 0, 0); err != nil {
+		return err
+	}
+	if *largest < 1 {
+		return cli.Usagef("experiment even: -largest must be above 0")
+	}
+	return load.PrintEven(stdout, load.RunEven(*seed, *largest))
+}
+
+// _evenLargest is the size of the larger of the deployments with high load.
+const _evenLargest = 137
--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -170,7 +170,7 @@
 	// registrations may lapse all at once.
 	_maxProbes = 32
 	// _maxLoads is the number of loads in one message. Full messages keep an instance below 17 KB a second.
-	_maxLoads = 45
+	_maxLoads = 44
 	// _forgetInterval is the interval at which expired state is purged.
 	_forgetInterval = time.Second
 	// _isolationTimeout is how long an instance may hear neither the store nor other instances before it asks the
--- a/core/entry/message_test.go
+++ b/core/entry/message_test.go
@@ -89,7 +89,7 @@
 		update, report := longUpdate(), fleet.Report{From: longInstance(), Revision: math.MaxInt64, Config: math.MaxInt64}
 		update.Loads = repeated(fleet.Load{
 			Cookie: math.MaxUint32, InProgress: 1.1, Latency: time.Minute, Answers: 100_000, Refused: 100_000,
-			Held: math.MaxUint16,
+			Held: math.MaxUint16, UsualLatency: time.Minute,
 		}, _maxLoads)
 		report.Loads = update.Loads
 		fits(c, update)
--- a/core/fleet/averages.go
+++ b/core/fleet/averages.go
@@ -120,6 +120,9 @@
 		measure.ServiceTime, measure.MeasuredAt = average.serviceTime, average.serviceTimeAt
 	}
 	measure.Habit = average.habit.Habit
+	if now-average.loadAt > _loadTTL {
+		measure.AnswerRate = 0
+	}
 	return measure
 }
 
--- a/core/fleet/encoding.go
+++ b/core/fleet/encoding.go
@@ -24,14 +24,16 @@
 	_wireAnswers
 	_wireRefused
 	_wireHeld
+	_wireUsualMillis
 )
 
 const (
 	_hundredthsPerRequest = 100
 	// _maxBusy is the greatest number of requests in progress that is encoded.
 	_maxBusy = 1e6
-	// _maxHeld is the greatest number of held flows that is encoded. It takes three bytes.
-	_maxHeld = math.MaxUint16
+	// _maxTwoBytes is the greatest number of held flows, and of milliseconds of the usual latency, that is encoded. Each
+	// takes up to three bytes then.
+	_maxTwoBytes = math.MaxUint16
 )
 
 var (
@@ -48,7 +50,8 @@
 		_wireLatencyMillis:  uint32(min(max(load.Latency.Round(time.Millisecond).Milliseconds(), 0), math.MaxUint32)),
 		_wireAnswers:        clampCount(load.Answers),
 		_wireRefused:        clampCount(load.Refused),
-		_wireHeld:           min(clampCount(load.Held), _maxHeld),
+		_wireHeld:           min(clampCount(load.Held), _maxTwoBytes),
+		_wireUsualMillis:    min(clampCount(int(load.UsualLatency.Round(time.Millisecond).Milliseconds())), _maxTwoBytes),
 	}
 	for len(fields) > _wireRefused && fields[len(fields)-1] == 0 {
 		fields = fields[:len(fields)-1]
@@ -76,7 +79,10 @@
 		load.Refused = int(min(fields[_wireRefused], math.MaxInt32))
 	}
 	if len(fields) > _wireHeld {
-		load.Held = int(min(fields[_wireHeld], _maxHeld))
+		load.Held = int(min(fields[_wireHeld], _maxTwoBytes))
+	}
+	if len(fields) > _wireUsualMillis {
+		load.UsualLatency = time.Duration(min(fields[_wireUsualMillis], _maxTwoBytes)) * time.Millisecond
 	}
 	return nil
 }
--- a/core/fleet/encoding_test.go
+++ b/core/fleet/encoding_test.go
@@ -34,8 +34,14 @@
 		_, without := roundTrip(Load{Cookie: 7, Answers: 12})
 		c.Assert(size-without <= 2, qt.IsTrue, qt.Commentf("%d bytes more", size-without))
 	})
+	c.Run("keeps the usual latency to milliseconds", func(c *qt.C) {
+		received, size := roundTrip(Load{Cookie: 7, Answers: 12, Held: 23, UsualLatency: 25_600 * time.Microsecond})
+		c.Assert(received, qt.Equals, Load{Cookie: 7, Answers: 12, Held: 23, UsualLatency: 26 * time.Millisecond})
+		_, without := roundTrip(Load{Cookie: 7, Answers: 12, Held: 23})
+		c.Assert(size-without <= 2, qt.IsTrue, qt.Commentf("%d bytes more", size-without))
+	})
 	c.Run("ignores unknown fields of later versions", func(c *qt.C) {
-		raw, err := cbor.Marshal([]uint32{7, 150, 45, 12, 3, 23, 99})
+		raw, err := cbor.Marshal([]uint32{7, 150, 45, 12, 3, 23, 26, 99})
 		c.Assert(err, qt.IsNil)
 		var received Load
 		c.Assert(cbor.Unmarshal(raw, &received), qt.IsNil)
@@ -55,3 +61,20 @@
 		c.Assert(received, qt.Equals, Load{Cookie: 1})
 	})
 }
+
+// TestTotalOfUsualLatencies guards against a total that one instance with few answers decides.
+func TestTotalOfUsualLatencies(t *testing.T) {
+	c := qt.New(t)
+	total := func(left, right Load, want time.Duration) {
+		c.Helper()
+		c.Assert(left.Add(right).UsualLatency.Round(time.Millisecond), qt.Equals, want)
+		c.Assert(right.Add(left).UsualLatency.Round(time.Millisecond), qt.Equals, want)
+	}
+	total(Load{Answers: 1, UsualLatency: 10 * time.Millisecond}, Load{Answers: 1, UsualLatency: 40 * time.Millisecond},
+		20*time.Millisecond)
+	total(Load{Answers: 9, UsualLatency: 40 * time.Millisecond}, Load{Answers: 1, UsualLatency: 4 * time.Second},
+		63*time.Millisecond)
+	total(Load{Answers: 5}, Load{Answers: 1, UsualLatency: 40 * time.Millisecond}, 40*time.Millisecond)
+	total(Load{Held: 3}, Load{}, 0)
+	c.Assert(Load{Held: 3}.Add(Load{Held: 4}).Held, qt.Equals, 7)
+}
--- a/core/fleet/habit.go
+++ b/core/fleet/habit.go
@@ -24,6 +24,8 @@
 type habit struct {
 	steer.Habit
 	updatedAt time.Duration
+	// geometric says that the latency is averaged from geometric means.
+	geometric bool
 }
 
 // update adds a load. Answers of a server with more requests than slots are left out, as they waited in its queue.
@@ -38,6 +40,15 @@
 		return
 	}
 	sample := load.Latency
+	if load.UsualLatency > 0 {
+		sample = load.UsualLatency
+		if !habit.geometric {
+			// The other averages differ from these by a factor.
+			habit.geometric, habit.SampledAnswers = true, 0
+		}
+	} else if habit.geometric {
+		return
+	}
 	if habit.SampledAnswers >= _habitBoundedFrom {
 		sample = min(sample, _habitMaxRatio*habit.UsualLatency)
 	}
--- a/core/fleet/habit_test.go
+++ b/core/fleet/habit_test.go
@@ -46,6 +46,14 @@
 		learnt.update(0, Load{Answers: 1, Latency: 4 * time.Second}, 2)
 		c.Assert(learnt.UsualLatency < 42*time.Millisecond, qt.IsTrue, qt.Commentf("%v", learnt.UsualLatency))
 	})
+	c.Run("begins anew with geometric means", func(c *qt.C) {
+		var learnt habit
+		learnt.update(0, Load{Answers: 90, Latency: 60 * time.Millisecond}, 2)
+		learnt.update(0, Load{Answers: 5, Latency: 60 * time.Millisecond, UsualLatency: 40 * time.Millisecond}, 2)
+		learnt.update(0, Load{Answers: 5, Latency: 60 * time.Millisecond}, 2)
+		c.Assert(learnt.UsualLatency, qt.Equals, 40*time.Millisecond)
+		c.Assert(learnt.SampledAnswers, qt.Equals, 5)
+	})
 	c.Run("requests that waited do not count", func(c *qt.C) {
 		var learnt habit
 		learnt.update(0, Load{Answers: 5, Latency: 40 * time.Millisecond, InProgress: 1}, 2)
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"azureshift/core/catalog"
@@ -59,6 +60,8 @@
 	Refused int
 	// Held is the number of long-lived flows that clients use on the server.
 	Held int
+	// UsualLatency is the geometric mean of the latencies of answers on these flows.
+	UsualLatency time.Duration
 }
 
 // Report goes from an instance to the one that it gets its updates from. Its loads include those reported to the
@@ -105,6 +108,8 @@
 		Answers:    observation.Answers,
 		Refused:    observation.Refused,
 		Held:       observation.Held,
+
+		UsualLatency: observation.UsualLatency,
 	}
 }
 
@@ -115,9 +120,23 @@
 		total := load.Latency*time.Duration(load.Answers) + other.Latency*time.Duration(other.Answers)
 		load.Latency = total / time.Duration(answers)
 	}
+	load.UsualLatency = load.addUsual(other)
 	load.Answers = answers
 	load.Refused += other.Refused
 	load.Held += other.Held
 	load.InProgress += other.InProgress
 	return load
 }
+
+// addUsual returns the geometric mean of the usual latencies of two loads, weighted by answers.
+func (load Load) addUsual(other Load) time.Duration {
+	switch {
+	case load.UsualLatency <= 0 || load.Answers <= 0:
+		return other.UsualLatency
+	case other.UsualLatency <= 0 || other.Answers <= 0:
+		return load.UsualLatency
+	}
+	weight := float64(other.Answers) / float64(load.Answers+other.Answers)
+	ratio := float64(other.UsualLatency) / float64(load.UsualLatency)
+	return time.Duration(float64(load.UsualLatency) * math.Pow(ratio, weight))
+}
--- a/core/steer/even.go
+++ b/core/steer/even.go
@@ -261,18 +261,19 @@
 	return min(max(speed, _minSpeed), _maxSpeed)
 }
 
-// unusual reports whether a server has lately been much slower than it usually is, or so much faster that it is taken to
-// reject requests.
+// unusual reports whether a server has lately been much slower than it usually is, or so much faster that it is taken
+// to reject requests. Where all servers have become slow, each is compared with as much more as is typical now.
 func (table *Table) unusual(pool *Pool, server *Server) bool {
-	measure := table.Measure(server)
+	measure, typical := table.Measure(server), table.TypicalServiceTime(pool)
 	if measure.ServiceTime == 0 {
 		return false
 	}
-	usual := table.TypicalServiceTime(pool)
+	usual := float64(max(typical, 1))
 	if measure.known() {
-		usual = measure.UsualLatency
+		growth := float64(typical) / float64(max(table.evenness[pool.typicalIndex].usualLatency, 1))
+		usual = float64(measure.UsualLatency) * max(growth, 1)
 	}
-	ratio := float64(measure.ServiceTime) / float64(max(usual, 1))
+	ratio := float64(measure.ServiceTime) / usual
 	return ratio > _unusualRatio || ratio < _rejectingRatio
 }
 
@@ -328,16 +329,27 @@
 	return load
 }
 
-// heldBy returns the number of long-lived flows that clients use on a server, where the load of its service is evened
-// out.
-func (steering *Steering) heldBy(cookie packet.Cookie, counters *counters) int {
+// isEvened reports whether the load of a server's service is evened out.
+func (steering *Steering) isEvened(cookie packet.Cookie) bool {
 	server, ok := steering.table.Servers[cookie]
 	if !ok {
-		return 0
+		return false
 	}
 	pool, ok := steering.table.Pools[server.Service]
-	if !ok || !steering.table.evenness[pool.typicalIndex].enabled {
+	return ok && steering.table.evenness[pool.typicalIndex].enabled
+}
+
+// recordUsual adds a latency to the geometric mean of the latencies.
+func (counters *counters) recordUsual(latency time.Duration) {
+	counters.logarithms += math.Log(float64(max(latency, 1)))
+	counters.logarithmCount++
+}
+
+// usualLatency returns the geometric mean of the latencies since the last report, or zero if there are none. Requests
+// that take much longer than the others hardly change it.
+func (counters *counters) usualLatency() time.Duration {
+	if counters.logarithmCount == 0 {
 		return 0
 	}
-	return counters.held
+	return time.Duration(math.Exp(counters.logarithms / float64(counters.logarithmCount)))
 }
--- a/core/steer/even_test.go
+++ b/core/steer/even_test.go
@@ -119,6 +119,16 @@
 		slow.ServiceTime = 200 * time.Millisecond
 		c.Assert(openedOn(evenTable(slow, usual, other), 60)[slow.ID], qt.Equals, 0)
 	})
+	c.Run("avoids no server where all have become slow", func(c *qt.C) {
+		servers := []*measuredServer{server(1, "near"), server(2, "near"), server(3, "near")}
+		for _, server := range servers {
+			server.Habit = Habit{UsualLatency: 40 * time.Millisecond, SampledAnswers: 300}
+			server.ServiceTime = 200 * time.Millisecond
+		}
+		for _, opened := range openedOn(evenTable(servers...), 60) {
+			c.Assert(opened, qt.Satisfies, between(15, 25))
+		}
+	})
 	c.Run("avoids a server that rejects requests at once", func(c *qt.C) {
 		rejecting, usual, other := server(1, "near"), server(2, "near"), server(3, "near")
 		for _, server := range []*measuredServer{rejecting, usual, other} {
@@ -130,6 +140,36 @@
 	})
 }
 
+// TestUnequalServersWithoutTheSetting guards against unequal servers that get equal shares where no setting asks for
+// even load.
+func TestUnequalServersWithoutTheSetting(t *testing.T) {
+	c := qt.New(t)
+	opened := func(latencies ...time.Duration) (byServer map[id.Target]int, even bool) {
+		servers := make([]*measuredServer, 0, 9)
+		for number := range cap(servers) {
+			servers = append(servers, server(number+1, "near"))
+		}
+		table, baselines := tableOf(servers...), &Baselines{}
+		table.LiveInstances = 1
+		for now := time.Duration(0); now <= _unevenFor; now += ReportInterval {
+			table = table.WithMeasures(now, baselines, func(server *Server) Measure {
+				latency := latencies[int(server.Number)%len(latencies)]
+				return Measure{ServiceTime: latency, Habit: Habit{UsualLatency: latency, SampledAnswers: 300}}
+			})
+		}
+		return openedOn(table, 300), table.Evenness()[0].Even
+	}
+	c.Run("three speeds", func(c *qt.C) {
+		byServer, even := opened(40*time.Millisecond, 25*time.Millisecond, 67*time.Millisecond)
+		c.Assert(even, qt.IsTrue)
+		c.Assert(byServer["i-00000001"] > 2*byServer["i-00000002"], qt.IsTrue, qt.Commentf("%v", byServer))
+	})
+	c.Run("alike", func(c *qt.C) {
+		_, even := opened(40*time.Millisecond, 42*time.Millisecond, 44*time.Millisecond)
+		c.Assert(even, qt.IsFalse)
+	})
+}
+
 // between returns a predicate for the numbers of a range.
 func between(low, high int) func(number int) bool {
 	return func(number int) bool { return low <= number && number <= high }
--- a/core/steer/flow.go
+++ b/core/steer/flow.go
@@ -53,6 +53,10 @@
 	// answers is the number of answers since the last report, and latencySum the sum of their latencies.
 	answers    int
 	latencySum time.Duration
+	// logarithms is the sum of the logarithms of the latencies, in nanoseconds, of logarithmCount answers since the last
+	// report.
+	logarithms     float64
+	logarithmCount int
 	// answeredAt is when the server last answered.
 	answeredAt time.Duration
 	// retransmissions is the number of retransmissions since the last answer, and firstRetransmission the time of the
--- a/core/steer/report.go
+++ b/core/steer/report.go
@@ -22,6 +22,9 @@
 	Refused int
 	// Held is the number of long-lived flows that clients use. It is counted where the load of the service is evened out.
 	Held int
+	// UsualLatency is the geometric mean of the latencies of answers on long-lived flows, or of all where there are no
+	// such flows. It is measured where the load of the service is evened out.
+	UsualLatency time.Duration
 	// Answers is the number of answers that began, and Latency their average time to the first byte.
 	Answers int
 	Latency time.Duration
@@ -47,7 +50,6 @@
 			InProgress:      float64(counters.pendingTime) / float64(interval),
 			FlowsOpened:     counters.opened,
 			Refused:         counters.refused,
-			Held:            steering.heldBy(cookie, counters),
 			Answers:         counters.answers,
 			SinceAnswer:     now - counters.answeredAt,
 			Retransmissions: counters.retransmissions,
@@ -57,6 +59,10 @@
 		if counters.answers > 0 {
 			observation.Latency = counters.latencySum / time.Duration(counters.answers)
 		}
+		if steering.isEvened(cookie) {
+			observation.Held, observation.UsualLatency = counters.held, counters.usualLatency()
+		}
+		counters.logarithms, counters.logarithmCount = 0, 0
 		_, isKnown := steering.table.Servers[cookie]
 		counters.pendingTime, counters.opened, counters.refused, counters.answers, counters.latencySum = 0, 0, 0, 0, 0
 		if !isKnown && counters.pending == 0 && counters.halfOpen == 0 {
--- a/core/steer/track.go
+++ b/core/steer/track.go
@@ -128,7 +128,11 @@
 	latency := now - tracked.requestedAt
 	counters.latencySum += latency
 	if demand, configured := steering.demandFor(header); demand != nil {
-		demand.counts(now, configured).answered++
+		counts := demand.counts(now, configured)
+		counts.answered++
+		if counts.persistent() || demand.activeFlows == 0 {
+			counters.recordUsual(latency)
+		}
 	}
 	return latency
 }
--- a/core/steer/unchanged_test.go
+++ b/core/steer/unchanged_test.go
@@ -17,8 +17,8 @@
 // services was evened out (c83d708).
 const _usualDecisions = 11805198300868894683
 
-// replayDecisions plays packets of new and open flows, with measures that change twice a second, and returns a digest of
-// all decisions. The function adds to the measures of a server.
+// replayDecisions plays packets of new and open flows, with measures that change twice a second, and returns a digest
+// of all decisions. The function adds to the measures of a server.
 func replayDecisions(add func(server *Server, measure *Measure)) uint64 {
 	const rounds, packets = 60, 200
 	random := rand.New(rand.NewPCG(7, 7))
@@ -71,8 +71,8 @@
 	c.Assert(replayDecisions(func(*Server, *Measure) {}), qt.Equals, uint64(_usualDecisions))
 }
 
-// TestDecisionsOnServersThatAreAlike guards against a change to decisions on servers of the same speed by what is learnt
-// of them. Their usual latencies differ by chance.
+// TestDecisionsOnServersThatAreAlike guards against a change to decisions on servers of the same speed by what is
+// learnt of them. Their usual latencies differ by chance.
 func TestDecisionsOnServersThatAreAlike(t *testing.T) {
 	c := qt.New(t)
 	digest := replayDecisions(func(server *Server, measure *Measure) {
--- a/core/steer/uneven.go
+++ b/core/steer/uneven.go
@@ -23,9 +23,9 @@
 	_minSampledShare = 0.5
 	_lowPercentile   = 0.2
 	_highPercentile  = 0.8
-	// _answerVariance is the variance of the latency of one answer, relative to the square of its mean: that of a
-	// log-normal distribution of spread 0.5 with 3 % of requests that take 7 times as long, bounded at twice the mean.
-	_answerVariance = 0.6
+	// _answerVariance is the variance of the logarithm of the latency of one answer: that of a log-normal distribution of
+	// spread 0.5 with 3 % of requests that take 7 times as long.
+	_answerVariance = 0.36
 )
 
 // Habit is what a few hundred answers say of a server.
--- a/entry/control.go
+++ b/entry/control.go
@@ -208,6 +208,7 @@
 	if now-daemon.serversCounted >= _serverCountPeriod {
 		daemon.serversCounted = now
 		daemon.metrics.servers.update(daemon.currentTable())
+		daemon.metrics.evenness.update(daemon.currentTable())
 	}
 	daemon.log.Flush()
 	if dropped := daemon.logQueue.Dropped(); dropped > 0 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,6 +36,7 @@
 	answerLatency    map[route.Kind]tally.Histogram
 	flows            tally.Gauge
 	servers          serverGauges
+	evenness         evennessGauges
 	packetsMalformed tally.Counter
 	flowsAbandoned   tally.Counter
 	// packetsUntracked counts packets of flows that were not tracked for want of memory.
@@ -75,6 +76,7 @@
 	}
 	created.flows = scope.Gauge("flows")
 	created.servers = serverGauges{scope: scope, byService: make(map[id.Service]map[ServerCondition]tally.Gauge)}
+	created.evenness = evennessGauges{scope: scope, byService: make(map[id.Service]evennessGauge)}
 	created.packetsMalformed = scope.Counter("packets_malformed_total")
 	created.packetsUntracked = scope.Counter("packets_untracked_total")
 	created.flowsAbandoned = scope.Counter("flows_abandoned_total")
--- a/experiment/load/policy.go
+++ b/experiment/load/policy.go
@@ -46,7 +46,7 @@
 
 func newPolicy(policyName PolicyName, simulation *simulation) Policy {
 	switch policyName {
-	case Steered:
+	case Steered, Even:
 		return &steeringPolicy{simulation: simulation, steering: steer.New(steer.Config{})}
 	case Hashed, Ideal:
 		return &choicePolicy{simulation: simulation, choose: chooseByHash}
@@ -56,8 +56,9 @@
 		return &choicePolicy{simulation: simulation, choose: chooseLeastFlows, placedFlows: make(map[packet.Cookie]int)}
 	case TwoChoices:
 		return &choicePolicy{simulation: simulation, choose: chooseOfTwo}
+	case SpeedShares, ExpectedWait, Corrected, AgedRandom, Subsets:
 	}
-	return nil
+	return newWeighedPolicy(policyName, simulation)
 }
 
 // steeringPolicy places flows by package steer, as entry instances do.
