Take an unknown number of held flows for the average, and move retransmissions on

Cause: with thousands of servers a load arrives every few seconds, and a server without a current one counted as holding no flow, so that it would get the new flows of all instances. A retransmitted opening packet could go to the server that had not answered, as the first choice is no longer the first in the flow's order.

Change: numbers of held flows count for 10 s, and unknown ones as the average by capacity. A retransmission avoids the server of the attempt before. The replay of even load includes bursts to 2.2 times the usual rate.

Measured: go test -race ./core/steer ./core/fleet passes. The tests were not run without the change.

--- a/core/fleet/averages.go
+++ b/core/fleet/averages.go
@@ -27,6 +27,9 @@
 	_busyTimeConstant = 1400 * time.Millisecond
 	// _loadTTL is how long a load counts. Servers without requests are not reported.
 	_loadTTL = 3 * time.Second
+	// _heldTTL is how long a number of held flows counts, which changes slowly. With thousands of servers a load arrives
+	// every few seconds only.
+	_heldTTL = 10 * time.Second
 )
 
 // LoadEstimates estimates the load and speed of backend servers from the loads that instances report. It is not safe
@@ -114,11 +117,14 @@
 	if now-average.loadAt <= _loadTTL {
 		measure.SmoothedInProgress, measure.LatestInProgress, measure.AnsweredInProgress =
 			average.smoothedBusy, average.latestBusy, average.answeredBusy
-		measure.Answers, measure.Held = average.answers, average.held
+		measure.Answers = average.answers
 	}
 	if now-average.serviceTimeAt <= loadEstimates.serviceTimeTTL(cookie) {
 		measure.ServiceTime, measure.MeasuredAt = average.serviceTime, average.serviceTimeAt
 	}
+	if average.loadAt > 0 && now-average.loadAt <= _heldTTL {
+		measure.Held, measure.HeldKnown = average.held, true
+	}
 	measure.Habit = average.habit.Habit
 	if now-average.loadAt > _loadTTL {
 		measure.AnswerRate = 0
--- a/core/steer/even.go
+++ b/core/steer/even.go
@@ -159,7 +159,7 @@
 	cumulative := steering.chances(now, pool, even, zoneIndex, persistent)
 	total := cumulative[len(cumulative)-1]
 	if header.Acknowledged > 0 || total <= 0 {
-		return steering.chooseServer(now, pool, zone, hash, int(header.Acknowledged), persistent)
+		return steering.chooseOther(now, pool, zone, hash, header, persistent)
 	}
 	drawn := even.next(hash) * total
 	chosen := sort.Search(len(cumulative)-1, func(index int) bool { return cumulative[index] > drawn })
@@ -169,6 +169,20 @@
 	return zone.Servers[chosen]
 }
 
+// chooseOther chooses by the flow's order of the servers, and not the server that has left its opening packet
+// unanswered.
+func (steering *Steering) chooseOther(
+	now time.Duration, pool *Pool, zone *Zone, hash uint64, header packet.Header, persistent bool,
+) *Server {
+	server := steering.chooseServer(now, pool, zone, hash, int(header.Acknowledged), persistent)
+	tracked, ok := steering.flows[header.Flow]
+	if !ok || !tracked.halfOpen || tracked.cookie != server.Cookie {
+		return server
+	}
+	avoid := func(other *Server) bool { return other == server || steering.table.slow(pool, other) }
+	return rank(zone.Servers, hash, 1, avoid)[0]
+}
+
 // chances returns the cumulative chances of the servers of a failure domain, which are computed anew once they are old.
 func (steering *Steering) chances(
 	now time.Duration, pool *Pool, even *evenState, zoneIndex int, persistent bool,
@@ -197,14 +211,15 @@
 	now time.Duration, pool *Pool, zone *Zone, cumulative []float64, persistent bool,
 ) []float64 {
 	demand := steering.demandOf(pool.Service)
-	loads, capacities := make([]float64, len(zone.Servers)), make([]float64, len(zone.Servers))
-	held := 0.0
+	capacities := make([]float64, len(zone.Servers))
+	for index, server := range zone.Servers {
+		capacities[index] = steering.evenCapacity(pool, server)
+	}
+	loads, held := steering.heldFlows(zone, capacities), 0.0
 	for index, server := range zone.Servers {
-		loads[index] = steering.table.Measure(server).Held
 		if counters, ok := steering.counters[server.Cookie]; ok && persistent {
 			loads[index] += counters.recentlyOpened.value(now, _openedTimeConstant)
 		}
-		capacities[index] = steering.evenCapacity(pool, server)
 		held += loads[index]
 	}
 	var amount float64
@@ -226,6 +241,29 @@
 	return cumulative
 }
 
+// heldFlows returns the number of long-lived flows on each server of a failure domain. Servers of which it is unknown
+// count as holding as many for their capacity as the others: as none, they would get the new flows of all instances.
+func (steering *Steering) heldFlows(zone *Zone, capacities []float64) []float64 {
+	loads := make([]float64, len(zone.Servers))
+	held, capacity := 0.0, 0.0
+	for index, server := range zone.Servers {
+		if measure := steering.table.Measure(server); measure.HeldKnown {
+			loads[index] = measure.Held
+			held += measure.Held
+			capacity += capacities[index]
+		}
+	}
+	if capacity == 0 {
+		return loads
+	}
+	for index, server := range zone.Servers {
+		if !steering.table.Measure(server).HeldKnown {
+			loads[index] = held / capacity * capacities[index]
+		}
+	}
+	return loads
+}
+
 // evenCapacity returns the number of slots of a server, in proportion to its speed; zero for a server that is to be
 // avoided.
 func (steering *Steering) evenCapacity(pool *Pool, server *Server) float64 {
--- a/core/steer/even_test.go
+++ b/core/steer/even_test.go
@@ -87,17 +87,28 @@
 	c.Run("fills up servers with fewer flows", func(c *qt.C) {
 		few, many := server(1, "near"), server(2, "near")
 		few.Held, many.Held = 10, 40
+		few.HeldKnown, many.HeldKnown = true, true
 		opened := openedOn(evenTable(few, many), 30)
 		c.Assert(opened[few.ID] >= 25, qt.IsTrue, qt.Commentf("%v", opened))
 	})
 	c.Run("spreads what all instances open at once", func(c *qt.C) {
 		few, many := server(1, "near"), server(2, "near")
 		few.Held, many.Held = 10, 40
+		few.HeldKnown, many.HeldKnown = true, true
 		table := evenTable(few, many)
 		table.LiveInstances = 1000
 		opened := openedOn(table, 400)
 		c.Assert(opened[many.ID] > 150, qt.IsTrue, qt.Commentf("%v", opened))
 	})
+	c.Run("takes an unknown number for the average", func(c *qt.C) {
+		servers := []*measuredServer{server(1, "near"), server(2, "near"), server(3, "near")}
+		for _, server := range servers[:2] {
+			server.Held, server.HeldKnown = 40, true
+		}
+		for _, opened := range openedOn(evenTable(servers...), 60) {
+			c.Assert(opened, qt.Satisfies, between(15, 25))
+		}
+	})
 	c.Run("follows the speeds", func(c *qt.C) {
 		slow, usual, fast := server(1, "near"), server(2, "near"), server(3, "near")
 		for server, latency := range map[*measuredServer]time.Duration{
@@ -110,6 +121,11 @@
 		c.Assert(opened[usual.ID], qt.Satisfies, between(85, 115))
 		c.Assert(opened[fast.ID], qt.Satisfies, between(145, 175))
 	})
+}
+
+// TestAvoidedServers guards against new flows on servers that do not answer as usual.
+func TestAvoidedServers(t *testing.T) {
+	c := qt.New(t)
 	c.Run("avoids a server that has just become slow", func(c *qt.C) {
 		slow, usual, other := server(1, "near"), server(2, "near"), server(3, "near")
 		for _, server := range []*measuredServer{slow, usual, other} {
@@ -175,6 +191,18 @@
 	return func(number int) bool { return low <= number && number <= high }
 }
 
+// TestRetransmissionWithEvenLoad guards against a retransmission that goes to the server that did not answer before.
+func TestRetransmissionWithEvenLoad(t *testing.T) {
+	c := qt.New(t)
+	table := evenTable(server(1, "near"), server(2, "near"), server(3, "near"))
+	for port := range uint16(200) {
+		steering := newSteering(table)
+		first := steering.Decide(0, syn(port+1, _feeds, 0))
+		second := steering.Decide(200*time.Millisecond, syn(port+1, _feeds, 1))
+		c.Assert(second.Server.ID, qt.Not(qt.Equals), first.Server.ID)
+	}
+}
+
 // TestHeldFlows guards against counting a flow at two instances for long: one whose packets now go to another instance
 // no longer counts here.
 func TestHeldFlows(t *testing.T) {
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -83,8 +83,9 @@
 	MeasuredAt  time.Duration
 	// Answers is the number of answers in the latest reports.
 	Answers float64
-	// Held is the number of long-lived flows that clients use on the server, through all instances.
-	Held float64
+	// Held is the number of long-lived flows that clients use on the server, through all instances, if HeldKnown.
+	Held      float64
+	HeldKnown bool
 	// Habit is what the answers of some minutes say of the server.
 	Habit
 }
--- a/experiment/load/even_run.go
+++ b/experiment/load/even_run.go
@@ -34,8 +34,8 @@
 			config     Config
 			patterns   []Pattern
 		}{
-			{"dispatch", EvenDispatch(instances), []Pattern{calm(), Wave(0.15, 11*time.Second)}},
-			{"registry", EvenRegistry(instances), []Pattern{calm(), Wave(0.55, 13*time.Second)}},
+			{"dispatch", EvenDispatch(instances), []Pattern{calm(), Wave(0.15, 11*time.Second), burstOf(_evenBurst)}},
+			{"registry", EvenRegistry(instances), []Pattern{calm(), Wave(0.55, 13*time.Second), burstOf(_evenBurst)}},
 		} {
 			config := run.config
 			config.Seed = seed
@@ -63,6 +63,20 @@
 	return Pattern{Name: "Calm", Apply: func(*simulation) {}}
 }
 
+// _evenBurst is a burst of all kinds as docs/design/hard-load.md describes them, up to 2.6 times the usual rate.
+const _evenBurst = 2.2
+
+// burstOf returns the pattern of bursts of five seconds at a multiple of the usual rate, one in each ten seconds.
+func burstOf(factor float64) Pattern {
+	return Pattern{Name: "Burst", Apply: func(simulation *simulation) {
+		const period, span = 10 * time.Second, 5 * time.Second
+		for start := time.Duration(0); start+span <= simulation.config.Duration; start += period {
+			simulation.afterWarmup(start, func() { simulation.scaleRates(factor) })
+			simulation.afterWarmup(start+span, func() { simulation.scaleRates(1) })
+		}
+	}}
+}
+
 // PrintEven writes results as a table.
 func PrintEven(output io.Writer, results []EvenResult) error {
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
