Compare the queues of two servers for a flow with one request

Cause: with even load a flow with one request went by held flows alone, so that load that flows do not explain, such as a server with longer requests, had no effect. Measuring the servers of a table allocated for each service.

Change: two servers are drawn by their chances, and the one with fewer requests in progress is preferred in proportion to these. Slices are reused from one service to the next.

--- a/core/steer/even.go
+++ b/core/steer/even.go
@@ -148,8 +148,9 @@
 	return low
 }
 
-// chooseEven chooses a server for a new flow by the load that flows bring. A retransmission goes to the next server in
-// the flow's order, as do all flows where no server has a chance.
+// chooseEven chooses a server for a new flow by the load that flows bring. Of two servers that are drawn for a flow with
+// one request, it prefers the one with fewer requests in progress, in proportion: this answers load that flows do not
+// explain. A retransmission goes to the next server in the flow's order, as do all flows where no server has a chance.
 func (steering *Steering) chooseEven(
 	now time.Duration, pool *Pool, hash uint64, header packet.Header, persistent bool,
 ) *Server {
@@ -161,12 +162,28 @@
 	if header.Acknowledged > 0 || total <= 0 {
 		return steering.chooseOther(now, pool, zone, hash, header, persistent)
 	}
-	drawn := even.next(hash) * total
-	chosen := sort.Search(len(cumulative)-1, func(index int) bool { return cumulative[index] > drawn })
+	chosen := zone.Servers[drawServer(cumulative, even.next(hash))]
 	if persistent {
 		even.opened.increment(now, _openedWindow)
+		return chosen
 	}
-	return zone.Servers[chosen]
+	other := zone.Servers[drawServer(cumulative, hashFraction(hash, _otherSalt))]
+	queued, otherQueued := steering.queued(chosen), steering.queued(other)
+	if otherQueued < queued && hashFraction(hash, _serverSalt) < 1-otherQueued/queued {
+		return other
+	}
+	return chosen
+}
+
+// queued returns the ratio of the requests in progress to the slots of a server with one more request.
+func (steering *Steering) queued(server *Server) float64 {
+	return 1 + steering.smoothedInProgress(server)/server.capacity()
+}
+
+// drawServer returns the index of a server by the cumulative chances and a number from 0 to 1.
+func drawServer(cumulative []float64, fraction float64) int {
+	drawn := fraction * cumulative[len(cumulative)-1]
+	return sort.Search(len(cumulative)-1, func(index int) bool { return cumulative[index] > drawn })
 }
 
 // chooseOther chooses by the flow's order of the servers, and not the server that has left its opening packet
--- a/core/steer/even_test.go
+++ b/core/steer/even_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -226,3 +227,24 @@
 		c.Assert(held(tableOf(server(1, "near")), time.Second), qt.Equals, 0)
 	})
 }
+
+// BenchmarkNewFlow places new flows, one each ten milliseconds, on the servers of one failure domain.
+func BenchmarkNewFlow(b *testing.B) {
+	for _, count := range []int{40, 5_333} {
+		for name, build := range map[string]func(servers ...*measuredServer) *Table{"even": evenTable, "usual": tableOf} {
+			b.Run(fmt.Sprintf("%s/%d", name, count), func(b *testing.B) {
+				servers := make([]*measuredServer, 0, count)
+				for number := range count {
+					servers = append(servers, server(number+1, "near"))
+					servers[number].Held, servers[number].HeldKnown = float64(number%7), true
+				}
+				steering, now := newSteering(build(servers...)), time.Duration(0)
+				b.ReportAllocs()
+				for b.Loop() {
+					now += 10 * time.Millisecond
+					steering.Decide(now, syn(uint16(now/(10*time.Millisecond)), _feeds, 0))
+				}
+			})
+		}
+	}
+}
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -34,6 +34,7 @@
 	_zoneSalt = iota + 1
 	_shedSalt
 	_serverSalt
+	_otherSalt
 )
 
 // place chooses a server for a new flow, or refuses the flow.
--- a/core/steer/typical.go
+++ b/core/steer/typical.go
@@ -26,6 +26,9 @@
 type Baselines struct {
 	baselines map[id.Service]*baseline
 	spreads   map[id.Service]*speedSpread
+	// latencies and sampled are reused for the servers of one service after the other.
+	latencies []time.Duration
+	sampled   []Habit
 }
 
 // baseline is the usual service time of one service, and when it was last updated.
--- a/core/steer/uneven.go
+++ b/core/steer/uneven.go
@@ -99,9 +99,7 @@
 
 // evaluate returns how the load of a pool is evened out, by the measures of the table.
 func (table *Table) evaluate(now time.Duration, baselines *Baselines, pool *Pool) poolEvenness {
-	var latencies []time.Duration
-	var sampled []Habit
-	servers := 0
+	latencies, sampled, servers := baselines.latencies[:0], baselines.sampled[:0], 0
 	for _, zone := range pool.Zones {
 		servers += len(zone.Servers)
 		for _, server := range zone.Servers {
@@ -114,6 +112,7 @@
 			}
 		}
 	}
+	baselines.latencies, baselines.sampled = latencies, sampled
 	if float64(len(latencies)) < _minSampledShare*float64(servers) {
 		latencies = nil
 	}
