Split the code for even load by failure domain and speed

Change: even_zone.go holds when flows leave a failure domain, speed.go how speeds are learnt. Nothing else changes.

--- a/core/steer/even.go
+++ b/core/steer/even.go
@@ -19,19 +19,6 @@
 	_unseenFlows = 0.5
 	// _goldenStep is the step of the sequence that spreads an instance's choices: the fractional part of the golden ratio.
 	_goldenStep = 0.6180339887498949
-	// _minSpeed and _maxSpeed bound the learnt speed of a server, as a multiple of that of the median. A server that seems
-	// faster is likely to reject requests.
-	_minSpeed = 0.1
-	_maxSpeed = 2.5
-	// _unusualRatio is the ratio of the recent service time of a server to its usual one from which on it is avoided: a
-	// half second with one long request among three stays below it.
-	_unusualRatio = 3
-	// _rejectingRatio is the ratio below which a server is taken to reject requests.
-	_rejectingRatio = 0.4
-	// _crossDomainRoundTrip is what a request to another failure domain costs in addition.
-	_crossDomainRoundTrip = 1800 * time.Microsecond
-	// _balanceSteps is the number of bisections that find the share of flows to place elsewhere, exact to 0.1 %.
-	_balanceSteps = 10
 )
 
 // evenState is what one instance keeps to even out the load of one service.
@@ -97,60 +84,10 @@
 	}
 }
 
-// ExpectedWait returns the average time that a request waits at servers with a number of slots each, at a utilisation
-// of these, by Sakasegawa's approximation for M/M/c queues. At full utilisation it is about that of 0.98.
-func ExpectedWait(serviceTime time.Duration, utilisation, slots float64) time.Duration {
-	const maxUtilisation = 0.98
-	utilisation = min(max(utilisation, 0), maxUtilisation)
-	slots = max(slots, 1)
-	queued := math.Pow(utilisation, math.Sqrt(2*(slots+1))-1) / (slots * (1 - utilisation))
-	return time.Duration(float64(serviceTime) * queued)
-}
-
-// ZoneLoad is the load of the servers of a failure domain.
-type ZoneLoad struct {
-	// Utilisation is the part of the slots in use, and Slots the number of slots. Servers is the number of servers.
-	Utilisation float64
-	Slots       float64
-	Servers     int
-}
-
-// wait returns the expected wait with a change in the number of slots in use.
-func (zoneLoad ZoneLoad) wait(serviceTime time.Duration, change float64) time.Duration {
-	if zoneLoad.Slots == 0 {
-		return math.MaxInt64
-	}
-	slots := zoneLoad.Slots / float64(max(zoneLoad.Servers, 1))
-	return ExpectedWait(serviceTime, zoneLoad.Utilisation+change/zoneLoad.Slots, slots)
-}
-
-// AwayShare returns the share of the flows of one failure domain that are better placed in another: as many as make the
-// wait in both differ by what the way to the other one costs, or none if the difference is smaller. It answers clients
-// that move between failure domains, waves with another phase in each, and servers that leave one: flows leave only
-// while requests wait, and stay again afterwards.
-func AwayShare(own, other ZoneLoad, serviceTime, cost time.Duration) float64 {
-	gain := func(share float64) time.Duration {
-		moved := share * own.Utilisation * own.Slots
-		return own.wait(serviceTime, -moved) - other.wait(serviceTime, moved) - cost
-	}
-	if other.Slots == 0 || own.Slots > 0 && gain(0) <= 0 {
-		return 0
-	}
-	low, high := 0.0, 1.0
-	for range _balanceSteps {
-		middle := (low + high) / 2
-		if gain(middle) > 0 {
-			low = middle
-		} else {
-			high = middle
-		}
-	}
-	return low
-}
-
-// chooseEven chooses a server for a new flow by the load that flows bring. Of two servers that are drawn for a flow with
-// one request, it prefers the one with fewer requests in progress, in proportion: this answers load that flows do not
-// explain. A retransmission goes to the next server in the flow's order, as do all flows where no server has a chance.
+// chooseEven chooses a server for a new flow by the load that flows bring. Of two servers that are drawn for a flow
+// with one request, it prefers the one with fewer requests in progress, in proportion: this answers load that flows do
+// not explain. A retransmission goes to the next server in the flow's order, as do all flows where no server has a
+// chance.
 func (steering *Steering) chooseEven(
 	now time.Duration, pool *Pool, hash uint64, header packet.Header, persistent bool,
 ) *Server {
@@ -291,91 +228,6 @@
 	return server.capacity() * steering.table.speed(pool, server, handshake)
 }
 
-// speed returns the speed of a server as a multiple of the usual one, given the part of the latencies that is the
-// network's. What chance may explain is left out of the ratio: with few answers, and where the servers are alike, the
-// speed is close to 1 (empirical Bayes estimate). It answers servers of several speeds in one service, of which short
-// averages tell little where a few requests take much longer than the others.
-func (table *Table) speed(pool *Pool, server *Server, network time.Duration) float64 {
-	evenness, habit := table.evenness[pool.typicalIndex], table.Measure(server).Habit
-	if evenness.variance == 0 || habit.UsualLatency <= 0 {
-		return 1
-	}
-	work := func(latency time.Duration) float64 {
-		return float64(max(latency-network, time.Duration(_minWorkShare*float64(latency)), 1))
-	}
-	certainty := evenness.variance / (evenness.variance + habit.chance())
-	speed := math.Pow(work(evenness.usualLatency)/work(habit.UsualLatency), certainty)
-	return min(max(speed, _minSpeed), _maxSpeed)
-}
-
-// unusual reports whether a server has lately been much slower than it usually is, or so much faster that it is taken
-// to reject requests. Where all servers have become slow, each is compared with as much more as is typical now.
-func (table *Table) unusual(pool *Pool, server *Server) bool {
-	measure, typical := table.Measure(server), table.TypicalServiceTime(pool)
-	if measure.ServiceTime == 0 {
-		return false
-	}
-	usual := float64(max(typical, 1))
-	if measure.known() {
-		growth := float64(typical) / float64(max(table.evenness[pool.typicalIndex].usualLatency, 1))
-		usual = float64(measure.UsualLatency) * max(growth, 1)
-	}
-	ratio := float64(measure.ServiceTime) / usual
-	return ratio > _unusualRatio || ratio < _rejectingRatio
-}
-
-// chooseEvenZone returns the index of the failure domain for a new flow.
-func (steering *Steering) chooseEvenZone(
-	now time.Duration, pool *Pool, even *evenState, hash uint64, persistent bool,
-) int {
-	if len(pool.Zones) == 1 {
-		return 0
-	}
-	if even.awayTable != steering.table || now-even.awayAt >= _evenRefresh {
-		even.awayTable, even.awayAt = steering.table, now
-		even.awayIndex, even.away = steering.compareZones(pool)
-	}
-	away := even.away
-	if !persistent {
-		away *= _movedSingleShare
-	}
-	if hashFraction(hash, _zoneSalt) < away {
-		return even.awayIndex
-	}
-	return 0
-}
-
-// compareZones returns the index of the least used other failure domain and the share of flows to place there.
-func (steering *Steering) compareZones(pool *Pool) (index int, share float64) {
-	own, other := steering.zoneLoad(pool, &pool.Zones[0]), ZoneLoad{}
-	for candidate := 1; candidate < len(pool.Zones); candidate++ {
-		load := steering.zoneLoad(pool, &pool.Zones[candidate])
-		if load.Slots > 0 && (other.Slots == 0 || load.Utilisation < other.Utilisation) {
-			other, index = load, candidate
-		}
-	}
-	demand := steering.demandOf(pool.Service)
-	work := demand.withoutHandshake(steering.table.TypicalServiceTime(pool))
-	return index, AwayShare(own, other, work, _crossDomainRoundTrip)
-}
-
-// zoneLoad returns the load of a failure domain without servers that are avoided.
-func (steering *Steering) zoneLoad(pool *Pool, zone *Zone) ZoneLoad {
-	var load ZoneLoad
-	inProgress := 0.0
-	for _, server := range zone.Servers {
-		if !steering.table.slow(pool, server) {
-			inProgress += steering.smoothedInProgress(server)
-			load.Slots += server.capacity()
-			load.Servers++
-		}
-	}
-	if load.Slots > 0 {
-		load.Utilisation = inProgress / load.Slots
-	}
-	return load
-}
-
 // isEvened reports whether the load of a server's service is evened out.
 func (steering *Steering) isEvened(cookie packet.Cookie) bool {
 	server, ok := steering.table.Servers[cookie]
@@ -385,18 +237,3 @@
 	pool, ok := steering.table.Pools[server.Service]
 	return ok && steering.table.evenness[pool.typicalIndex].enabled
 }
-
-// recordUsual adds a latency to the geometric mean of the latencies.
-func (counters *counters) recordUsual(latency time.Duration) {
-	counters.logarithms += math.Log(float64(max(latency, 1)))
-	counters.logarithmCount++
-}
-
-// usualLatency returns the geometric mean of the latencies since the last report, or zero if there are none. Requests
-// that take much longer than the others hardly change it.
-func (counters *counters) usualLatency() time.Duration {
-	if counters.logarithmCount == 0 {
-		return 0
-	}
-	return time.Duration(math.Exp(counters.logarithms / float64(counters.logarithmCount)))
-}
