--- a/core/fleet/averages.go
+++ b/core/fleet/averages.go
@@ -27,6 +27,9 @@
 	_busyTimeConstant = 1400 * time.Millisecond
 	// _loadTTL is how long a load counts. Servers without requests are not reported.
 	_loadTTL = 3 * time.Second
+	// _heldTTL is how long a number of held flows counts, which changes slowly. With thousands of servers a load arrives
+	// every few seconds only.
+	_heldTTL = 10 * time.Second
 )
 
 // LoadEstimates estimates the load and speed of backend servers from the loads that instances report. It is not safe
@@ -54,6 +57,9 @@
 	// serviceTime is how long the server runs a request, without the time in its queue, last updated at serviceTimeAt.
 	serviceTime   time.Duration
 	serviceTimeAt time.Duration
+	// held is the last reported number of long-lived flows in use.
+	held  float64
+	habit habit
 }
 
 // Update updates the estimates with reported loads.
@@ -73,6 +79,8 @@
 		average.answeredBusy = float64(load.Answers) * float64(load.Latency) / float64(steer.ReportInterval)
 		average.answers = float64(load.Answers)
 		average.updateServiceTime(now, load, loadEstimates.Slots(load.Cookie))
+		average.held = float64(load.Held)
+		average.habit.update(now, load, loadEstimates.Slots(load.Cookie))
 		loadEstimates.byCookie[load.Cookie] = average
 	}
 }
@@ -114,6 +122,13 @@
 	if now-average.serviceTimeAt <= loadEstimates.serviceTimeTTL(cookie) {
 		measure.ServiceTime, measure.MeasuredAt = average.serviceTime, average.serviceTimeAt
 	}
+	if average.loadAt > 0 && now-average.loadAt <= _heldTTL {
+		measure.Held, measure.HeldKnown = average.held, true
+	}
+	measure.Habit = average.habit.Habit
+	if now-average.loadAt > _loadTTL {
+		measure.AnswerRate = 0
+	}
 	return measure
 }
 
--- a/core/steer/demand.go
+++ b/core/steer/demand.go
@@ -59,7 +59,8 @@
 	// forecast is the last forecast of the load.
 	forecast forecast
 	// own is what this instance reports to others.
-	own ownDemand
+	own  ownDemand
+	even evenState
 }
 
 // demandCounts are counts of new flows and of requests, with exponential decay.
@@ -70,6 +71,7 @@
 	// opened is the number of flows that were opened, and answered the number of answers. They decay more slowly.
 	opened   float64
 	answered float64
+	habits
 }
 
 // demandRates are moving averages of rates per second.
@@ -95,6 +97,7 @@
 			counts.refused *= recent
 			counts.opened *= habit
 			counts.answered *= habit
+			counts.closed *= habit
 		}
 	}
 	demand.updatedAt = now
@@ -121,13 +124,15 @@
 	return counts.singleRequestShare() < _minReusedShare
 }
 
-// countOpened counts a flow that was opened.
-func (demand *demand) countOpened(now time.Duration, configured *route.Route) {
+// countOpened counts a flow that was opened, and reports whether it is expected to be long-lived.
+func (demand *demand) countOpened(now time.Duration, configured *route.Route) bool {
 	counts := demand.counts(now, configured)
 	counts.opened++
 	if counts.persistent() {
 		demand.unmeasured.increment(now, _unmeasuredTimeConstant)
 	}
+	counts.noteOpened(now)
+	return counts.longLived(now)
 }
 
 // countRequest counts a request, on a new flow or on an open one.
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -34,6 +34,7 @@
 	_zoneSalt = iota + 1
 	_shedSalt
 	_serverSalt
+	_otherSalt
 )
 
 // place chooses a server for a new flow, or refuses the flow.
@@ -50,8 +51,13 @@
 	if candidates == nil {
 		return Decision{Action: Reset, Reason: SlowStart}
 	}
-	zone := steering.chooseZone(candidates, hash, persistent)
-	server := steering.chooseServer(now, candidates, zone, hash, int(header.Acknowledged), persistent)
+	var server *Server
+	if steering.table.evenness[pool.typicalIndex].enabled {
+		server = steering.chooseEven(now, candidates, hash, header, counts.longLived(now))
+	} else {
+		zone := steering.chooseZone(candidates, hash, persistent)
+		server = steering.chooseServer(now, candidates, zone, hash, int(header.Acknowledged), persistent)
+	}
 	limit := latencyLimit(configured, steering.table.TypicalServiceTime(pool))
 	if limit == 0 {
 		return Decision{Action: Forward, Reason: NewFlow, Server: server}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -127,7 +127,9 @@
 	steering.countOpening(now, decision.Server)
 	steering.addFlow(now, header, decision.Server)
 	demand := steering.demandOf(decision.Server.Service)
-	demand.countOpened(now, configured)
+	if demand.countOpened(now, configured) {
+		steering.countersOf(decision.Server.Cookie, now).held++
+	}
 	if !isRetransmission {
 		demand.own.countOpened(now, demand.classOf(now, configured))
 	}
@@ -151,6 +153,7 @@
 		return steering.refuse(now, header, Decision{Action: Reset, Reason: ServerUnreachable, Server: server})
 	}
 	if header.Flags.Has(packet.RST) || header.Flags.Has(packet.FIN) {
+		steering.countClosed(now, header)
 		steering.removeFlow(now, header.Flow)
 	}
 	decision := Decision{Action: Forward, Reason: Established, Server: server, StallDetected: stalled, Latency: latency}
--- a/experiment/load/highload_test.go
+++ b/experiment/load/highload_test.go
@@ -28,7 +28,7 @@
 // dispatchConfig returns the deployment with one of the two ways to admit flows.
 func dispatchConfig(fleetAdmission bool) Config {
 	config := Dispatch()
-	config.FleetAdmission = fleetAdmission
+	config.Placement.FleetAdmission = fleetAdmission
 	if fleetAdmission {
 		config.LoadsPerExchange = _loadsBesideDemand
 	}
