--- a/core/steer/explain.go
+++ b/core/steer/explain.go
@@ -48,6 +48,11 @@
 
 func (demand *demand) clone() *demand {
 	copied := *demand
+	copied.even.choices = slices.Clone(demand.even.choices)
+	for index := range copied.even.choices {
+		choice := &copied.even.choices[index]
+		choice.cumulative = slices.Clone(choice.cumulative)
+	}
 	return &copied
 }
 
--- a/core/steer/explain_test.go
+++ b/core/steer/explain_test.go
@@ -14,10 +14,13 @@
 // It guards against an explanation that differs from the decision, and against one that changes later decisions.
 func TestTrials(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		evenLoad := rapid.Bool().Draw(t, "even load")
 		newInstance := func() *Steering {
 			cold := server(3, "a")
 			cold.ColdUntil, cold.SlowStartShare = 10*time.Second, 1
 			table := tableOf(server(1, "a"), server(2, "a"), cold, server(4, "b"))
+			table.Placement.EvenLoad = evenLoad
+			table = table.WithMeasures(0, &Baselines{}, func(*Server) Measure { return Measure{} })
 			table.SharesUntil = time.Minute
 			table.LimitSlowStarts()
 			return newSteering(table)
