--- a/experiment/load/even_policies.go
+++ b/experiment/load/even_policies.go
@@ -52,13 +52,14 @@
 	steeringPolicy
 	name   PolicyName
 	random *rand.Rand
-	// opened holds the recent flows of this instance by server, and flows all of them.
-	opened  map[packet.Cookie]float64
-	flows   map[packet.Cookie]float64
-	decayed time.Duration
-	updated time.Duration
-	subset  []*steer.Server
-	speeds  map[packet.Cookie]float64
+	// opened holds the recent flows of this instance by server, with their total, and flows all of them.
+	opened      map[packet.Cookie]float64
+	openedTotal float64
+	flows       map[packet.Cookie]float64
+	decayed     time.Duration
+	updated     time.Duration
+	subset      []*steer.Server
+	speeds      map[packet.Cookie]float64
 }
 
 var _ Policy = (*weighedPolicy)(nil)
@@ -111,9 +112,11 @@
 	for cookie := range policy.opened {
 		policy.opened[cookie] *= left
 	}
+	policy.openedTotal *= left
 	policy.decayed = now
 	chosen := policy.choose(now)
 	policy.opened[chosen.Cookie]++
+	policy.openedTotal++
 	policy.flows[chosen.Cookie]++
 	return policy.simulation.byCookie[chosen.Cookie]
 }
@@ -165,12 +168,8 @@
 	table := policy.steering.Table()
 	inProgress := table.Measure(server).SmoothedInProgress + policy.opened[server.Cookie]*_ownFlowLoad
 	if policy.name == Corrected {
-		all := 0.0
-		for _, opened := range policy.opened {
-			all += opened
-		}
 		servers := len(table.Pools[_service].Zones[0].Servers)
-		inProgress += all * float64(table.LiveInstances-1) / float64(servers) * _ownFlowLoad
+		inProgress += policy.openedTotal * float64(table.LiveInstances-1) / float64(servers) * _ownFlowLoad
 	}
 	return (1 + inProgress/float64(server.Slots)) / policy.speeds[server.Cookie]
 }
