--- a/core/fleet/averages.go
+++ b/core/fleet/averages.go
@@ -123,7 +123,7 @@
 		measure.ServiceTime, measure.MeasuredAt = average.serviceTime, average.serviceTimeAt
 	}
 	if average.loadAt > 0 && now-average.loadAt <= _heldTTL {
-		measure.Held, measure.HeldKnown, measure.HeldAt = average.held, true, average.loadAt
+		measure.Held, measure.HeldKnown = average.held, true
 	}
 	measure.Habit = average.habit.Habit
 	if now-average.loadAt > _loadTTL {
--- a/core/steer/even.go
+++ b/core/steer/even.go
@@ -19,9 +19,6 @@
 	_unseenFlows = 0.5
 	// _goldenStep is the step of the sequence that spreads an instance's choices: the fractional part of the golden ratio.
 	_goldenStep = 0.6180339887498949
-	// _fullRatio is the ratio of requests in progress to slots at which a server gets no new flows; one below it, all of
-	// the server's capacity counts.
-	_fullRatio = 2
 )
 
 // evenState is what one instance keeps to even out the load of one service.
@@ -172,19 +169,17 @@
 	for index, server := range zone.Servers {
 		capacities[index] = steering.evenCapacity(pool, server)
 	}
-	opened := demand.even.opened.value(now, _openedWindow) * float64(max(steering.table.LiveInstances, 1))
 	loads, held := steering.heldFlows(zone, capacities), 0.0
-	steering.addUnreported(now, zone, loads, capacities, opened)
 	for index, server := range zone.Servers {
 		if counters, ok := steering.counters[server.Cookie]; ok && persistent {
 			loads[index] += counters.recentlyOpened.value(now, _openedTimeConstant)
 		}
 		held += loads[index]
-		capacities[index] *= steering.headroom(server)
 	}
 	var amount float64
 	if persistent {
-		amount = opened + _unseenFlows*float64(max(steering.table.LiveInstances, 1))
+		opened := demand.even.opened.value(now, _openedWindow)
+		amount = (opened + _unseenFlows) * float64(max(steering.table.LiveInstances, 1))
 	} else {
 		amount = held * demand.singlePerLongLived(now)
 	}
@@ -200,34 +195,6 @@
 	return cumulative
 }
 
-// addUnreported adds to the held flows of each server those that all instances have opened since its figure arrived,
-// given the number that they opened in the last _openedWindow. It answers figures of different ages: the figures of all
-// servers do not fit into one message, and while clients open flows the servers with the oldest figures would seem the
-// emptiest.
-func (steering *Steering) addUnreported(
-	now time.Duration, zone *Zone, loads, capacities []float64, opened float64,
-) {
-	capacity := 0.0
-	for index := range capacities {
-		capacity += capacities[index]
-	}
-	if capacity == 0 {
-		return
-	}
-	for index, server := range zone.Servers {
-		if measure := steering.table.Measure(server); measure.HeldKnown {
-			age := float64(now-measure.HeldAt) / float64(_openedWindow)
-			loads[index] += opened * max(age, 0) * capacities[index] / capacity
-		}
-	}
-}
-
-// headroom returns the part of a server's capacity that counts for new flows: none if as many requests wait as run. It
-// answers servers that are full: their clients close flows that fail, so that they seem to hold few.
-func (steering *Steering) headroom(server *Server) float64 {
-	return clamp(_fullRatio - steering.smoothedInProgress(server)/server.capacity())
-}
-
 // heldFlows returns the number of long-lived flows on each server of a failure domain. Servers of which it is unknown
 // count as holding as many for their capacity as the others: as none, they would get the new flows of all instances.
 func (steering *Steering) heldFlows(zone *Zone, capacities []float64) []float64 {
--- a/core/steer/explain_test.go
+++ b/core/steer/explain_test.go
@@ -29,16 +29,16 @@
 		now := time.Duration(0)
 		for number := range rapid.IntRange(1, 40).Draw(t, "packets") {
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
-			port := uint16(rapid.IntRange(1, 20).Draw(t, "port"))
+			// A trial knows no flows, so each packet is of another one.
+			port := uint16(number + 1)
 			header := syn(port, _feeds, 0)
-			header.Sequence = uint32(number)
 			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
 				cookie := packet.Cookie(rapid.IntRange(1, 5).Draw(t, "cookie"))
 				header = data(port, _feeds, cookie, header.Sequence, 500, 100)
 			}
 			trial := asked.Trial()
 			explained := trial.Decide(now, header)
-			trial.Decide(now, syn(port+100, _feeds, 0))
+			trial.Decide(now, syn(port+1000, _feeds, 0))
 			decided, expected := asked.Decide(now, header), other.Decide(now, header)
 			if explained.Action != decided.Action || cookieOf(explained) != cookieOf(decided) {
 				t.Fatalf("explained %+v, decided %+v", explained, decided)
--- a/core/steer/speed.go
+++ b/core/steer/speed.go
@@ -20,12 +20,10 @@
 // speed returns the speed of a server as a multiple of the usual one, given the part of the latencies that is the
 // network's. What chance may explain is left out of the ratio: with few answers, and where the servers are alike, the
 // speed is close to 1 (empirical Bayes estimate). It answers servers of several speeds in one service, of which short
-// averages tell little where a few requests take much longer than the others. It is 1 until the servers of the service
-// have differed for long: the first answers of a service are its shortest ones, and rejections are answered at once, so
-// that an overrun server would seem fast and be sent more.
+// averages tell little where a few requests take much longer than the others.
 func (table *Table) speed(pool *Pool, server *Server, network time.Duration) float64 {
 	evenness, habit := table.evenness[pool.typicalIndex], table.Measure(server).Habit
-	if !evenness.unequal || evenness.variance == 0 || !habit.known() {
+	if evenness.variance == 0 || habit.UsualLatency <= 0 {
 		return 1
 	}
 	work := func(latency time.Duration) float64 {
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -94,8 +94,6 @@
 	// Held is the number of long-lived flows that clients use on the server, through all instances, if HeldKnown.
 	Held      float64
 	HeldKnown bool
-	// HeldAt is when Held arrived.
-	HeldAt time.Duration
 	// Habit is what the answers of some minutes say of the server.
 	Habit
 }
--- a/core/steer/uneven.go
+++ b/core/steer/uneven.go
@@ -47,8 +47,6 @@
 type poolEvenness struct {
 	// enabled says that new flows are placed by the load that flows bring.
 	enabled bool
-	// unequal says that the servers have differed in speed for long.
-	unequal bool
 	// usualLatency is the geometric mean of the servers' usual latencies, and variance that of their logarithms without
 	// the part that chance explains. Both are zero if no latency is known.
 	usualLatency time.Duration
@@ -120,7 +118,7 @@
 	}
 	slices.Sort(latencies)
 	unequal := baselines.spreadOf(now, pool.Service).update(now, latencies)
-	evenness := poolEvenness{enabled: table.Placement.EvenLoad || unequal, unequal: unequal}
+	evenness := poolEvenness{enabled: table.Placement.EvenLoad || unequal}
 	evenness.usualLatency, evenness.variance = speedVariance(sampled)
 	return evenness
 }
