Place flows by the load that they bring only where a setting asks for it

Placement.Balance = Detected asks for it now; the template sets neither. TestUnequalServers asserts the same as before with the setting, and that nothing changes without.

--- a/core/steer/even_test.go
+++ b/core/steer/even_test.go
@@ -157,17 +157,18 @@
 	})
 }
 
-// TestUnequalServersWithoutTheSetting guards against unequal servers that get equal shares where no setting asks for
-// even load.
-func TestUnequalServersWithoutTheSetting(t *testing.T) {
+// TestUnequalServers guards against unequal servers that get equal shares where the setting asks to find them, and
+// against any change where it does not.
+func TestUnequalServers(t *testing.T) {
 	c := qt.New(t)
+	placement := Placement{EvenLoadIfUnequal: true}
 	opened := func(latencies ...time.Duration) (byServer map[id.Target]int, even bool) {
 		servers := make([]*measuredServer, 0, 9)
 		for number := range cap(servers) {
 			servers = append(servers, server(number+1, "near"))
 		}
 		table, baselines := tableOf(servers...), &Baselines{}
-		table.LiveInstances = 1
+		table.LiveInstances, table.Placement = 1, placement
 		for now := time.Duration(0); now <= _unevenFor; now += ReportInterval {
 			table = table.WithMeasures(now, baselines, func(server *Server) Measure {
 				latency := latencies[int(server.Number)%len(latencies)]
@@ -185,6 +186,11 @@
 		_, even := opened(40*time.Millisecond, 42*time.Millisecond, 44*time.Millisecond)
 		c.Assert(even, qt.IsFalse)
 	})
+	c.Run("three speeds without the setting", func(c *qt.C) {
+		placement = Placement{}
+		_, even := opened(40*time.Millisecond, 25*time.Millisecond, 67*time.Millisecond)
+		c.Assert(even, qt.IsFalse)
+	})
 }
 
 // between returns a predicate for the numbers of a range.
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -127,6 +127,8 @@
 	FleetAdmission bool
 	// EvenLoad compares servers by the load that their flows are expected to bring.
 	EvenLoad bool
+	// EvenLoadIfUnequal does so for services whose servers have differed in speed for long.
+	EvenLoadIfUnequal bool
 }
 
 // Table is an immutable snapshot of the configuration and the servers. The measures, which change often, are replaced
--- a/core/steer/uneven.go
+++ b/core/steer/uneven.go
@@ -118,7 +118,7 @@
 	}
 	slices.Sort(latencies)
 	unequal := baselines.spreadOf(now, pool.Service).update(now, latencies)
-	evenness := poolEvenness{enabled: table.Placement.EvenLoad || unequal}
+	evenness := poolEvenness{enabled: table.Placement.EvenLoad || unequal && table.Placement.EvenLoadIfUnequal}
 	evenness.usualLatency, evenness.variance = speedVariance(sampled)
 	return evenness
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -157,6 +157,8 @@
 		Placement: steer.Placement{
 			FleetAdmission: config.Placement.Admission == settings.AdmissionFleet,
 			EvenLoad:       config.Placement.Balance == settings.BalanceEven,
+
+			EvenLoadIfUnequal: config.Placement.Balance == settings.BalanceDetected,
 		},
 	}
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -96,6 +96,8 @@
 	BalanceUsual Balance = "Usual"
 	// BalanceEven compares servers by the load that their flows are expected to bring.
 	BalanceEven Balance = "Even"
+	// BalanceDetected does so for services whose servers have differed in speed for long.
+	BalanceDetected Balance = "Detected"
 )
 
 // Placement configures how new flows are admitted and placed.
@@ -195,7 +197,9 @@
 	if placement.Admission != AdmissionInstance && placement.Admission != AdmissionFleet {
 		faults.add("Placement.Admission", fmt.Sprintf("%q is not known", placement.Admission), "use Instance or Fleet")
 	}
-	if placement.Balance != BalanceUsual && placement.Balance != BalanceEven {
-		faults.add("Placement.Balance", fmt.Sprintf("%q is not known", placement.Balance), "use Usual or Even")
+	switch placement.Balance {
+	case BalanceUsual, BalanceEven, BalanceDetected:
+	default:
+		faults.add("Placement.Balance", fmt.Sprintf("%q is not known", placement.Balance), "use Usual, Even or Detected")
 	}
 }
