--- a/core/steer/flow.go
+++ b/core/steer/flow.go
@@ -24,6 +24,8 @@
 	// requestedAt is when the pending request was sent, and retransmitted says that the client sent it again.
 	requestedAt   time.Duration
 	retransmitted bool
+	// requests is the number of requests that the client sent, up to 255.
+	requests uint8
 }
 
 // sequenceAfter reports whether sequence number left comes after right, allowing for wraparound at 2^32.
@@ -48,9 +50,15 @@
 	recentlyOpened decayingCount
 	// refused is the number of flows refused since the last report that would have gone to this server.
 	refused int
+	// held is the number of persistent flows that clients used when flows were last counted, or opened since.
+	held int
 	// answers is the number of answers since the last report, and latencySum the sum of their latencies.
 	answers    int
 	latencySum time.Duration
+	// logarithms is the sum of the logarithms of the latencies, in nanoseconds, of logarithmCount answers since the last
+	// report.
+	logarithms     float64
+	logarithmCount int
 	// answeredAt is when the server last answered.
 	answeredAt time.Duration
 	// retransmissions is the number of retransmissions since the last answer, and firstRetransmission the time of the
--- a/core/steer/report.go
+++ b/core/steer/report.go
@@ -20,6 +20,11 @@
 	FlowsOpened int
 	// Refused is the number of flows that were refused under overload and would have gone to the server.
 	Refused int
+	// Held is the number of long-lived flows that clients use. It is counted where the load of the service is evened out.
+	Held int
+	// UsualLatency is the geometric mean of the latencies of answers on long-lived flows, or of all where there are no
+	// such flows. It is measured where the load of the service is evened out.
+	UsualLatency time.Duration
 	// Answers is the number of answers that began, and Latency their average time to the first byte.
 	Answers int
 	Latency time.Duration
@@ -54,6 +59,10 @@
 		if counters.answers > 0 {
 			observation.Latency = counters.latencySum / time.Duration(counters.answers)
 		}
+		if steering.isEvened(cookie) {
+			observation.Held, observation.UsualLatency = counters.held, counters.usualLatency()
+		}
+		counters.logarithms, counters.logarithmCount = 0, 0
 		_, isKnown := steering.table.Servers[cookie]
 		counters.pendingTime, counters.opened, counters.refused, counters.answers, counters.latencySum = 0, 0, 0, 0, 0
 		if !isKnown && counters.pending == 0 && counters.halfOpen == 0 {
--- a/entry/control.go
+++ b/entry/control.go
@@ -213,6 +213,7 @@
 		daemon.metrics.servers.update(table)
 		daemon.metrics.evacuatedDomains.Update(float64(table.Evacuated))
 		daemon.metrics.serversCold.Update(float64(table.CountCold(now)))
+		daemon.metrics.evenness.update(table)
 	}
 	daemon.log.Flush()
 	if dropped := daemon.logQueue.Dropped(); dropped > 0 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -39,6 +39,7 @@
 	// evacuatedDomains is the number of evacuated failure domains, including those without servers.
 	evacuatedDomains tally.Gauge
 	admissions       admissionGauges
+	evenness         evennessGauges
 	packetsMalformed tally.Counter
 	flowsAbandoned   tally.Counter
 	// serversCold is the number of servers whose new flows are limited while they are in slow start, and
@@ -84,6 +85,7 @@
 	created.servers = serverGauges{scope: scope, byService: make(map[id.Service]map[ServerCondition]tally.Gauge)}
 	created.evacuatedDomains = scope.Gauge("evacuated_domains")
 	created.admissions = admissionGauges{scope: scope, byKey: make(map[admissionKey]admissionGauge)}
+	created.evenness = evennessGauges{scope: scope, byService: make(map[id.Service]evennessGauge)}
 	created.packetsMalformed = scope.Counter("packets_malformed_total")
 	created.packetsUntracked = scope.Counter("packets_untracked_total")
 	created.flowsAbandoned = scope.Counter("flows_abandoned_total")
--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"time"
 
 	"azureshift/core/packet"
@@ -36,14 +37,17 @@
 			break
 		}
 	}
-	started := &request{kind: kind, zone: zone, user: simulation.drawUser(zone), started: simulation.clock.Now()}
+	started := &request{kind: kind, zone: zone, user: simulation.drawUser(zone, kind), started: simulation.clock.Now()}
 	simulation.result.recordStart(simulation, started)
 	simulation.clock.After(kind.Timeout, func() { simulation.finish(started, false) })
 	simulation.dispatch(started)
 }
 
 // drawUser returns the user of a request. Their number follows the rate of requests.
-func (simulation *simulation) drawUser(zone int) int {
+func (simulation *simulation) drawUser(zone int, kind *Kind) int {
+	if kind.UserRate > 0 {
+		return simulation.random.IntN(max(int(simulation.zones[zone].rate*kind.Share/kind.UserRate), 1))
+	}
 	if simulation.config.UserRate == 0 {
 		return 0
 	}
@@ -183,6 +187,20 @@
 	flow.instance.policy.Observe(simulation.clock.Now(), header)
 }
 
+// closeFlow ends a flow by the client: a packet with FIN, and one that acknowledges the server's.
+func (simulation *simulation) closeFlow(flow *flow) {
+	end := packet.Header{
+		Flow: flow.header.Flow, Flags: packet.ACK | packet.FIN, Cookie: simulation.cookieOf(flow.server),
+		Sequence: flow.nextSequence, Acknowledged: flow.acked,
+	}
+	simulation.clock.After(_clientDelay, func() { flow.instance.policy.Observe(simulation.clock.Now(), end) })
+	last := end
+	last.Flags = packet.ACK
+	last.Sequence++
+	last.Acknowledged++
+	simulation.clock.After(3*_clientDelay, func() { flow.instance.policy.Observe(simulation.clock.Now(), last) })
+}
+
 func (simulation *simulation) cookieOf(server *server) packet.Cookie {
 	return packet.Cookie(server.Number)
 }
@@ -205,6 +223,9 @@
 			simulation.retry(request)
 			return
 		}
+		if request.kind.FlowPerRequest && simulation.config.ClosesFlows {
+			simulation.closeFlow(flow)
+		}
 		if !request.kind.FlowPerRequest && !simulation.draining[simulation.cookieOf(server)] {
 			flow.lastUsed = simulation.clock.Now()
 			pool := flowPool{kind: request.kind, user: request.user}
@@ -257,7 +278,7 @@
 	if server.zone == zone {
 		return _sameDomainDelay
 	}
-	return _crossDomainDelay
+	return cmp.Or(simulation.config.CrossDomainDelay, _crossDomainDelay)
 }
 
 // dispatchIdeal runs a request at any free server, or appends it to the single queue.
--- a/experiment/load/config.go
+++ b/experiment/load/config.go
@@ -7,6 +7,7 @@
 
 	"azureshift/core/id"
 	"azureshift/core/route"
+	"azureshift/core/steer"
 )
 
 // Zone describes a failure domain of a deployment.
@@ -33,6 +34,10 @@
 	Objective time.Duration
 	Timeout   time.Duration
 	Priority  route.Priority
+	// UserRate is the number of requests per second of one user of this kind; zero is the UserRate of the deployment.
+	UserRate float64
+	// Tail is a part of the requests that takes longer; MeanWork is the mean of the others.
+	Tail Tail
 	// Worth is the weight of a request that is answered in time; zero counts as one.
 	Worth float64
 }
@@ -62,10 +67,16 @@
 	UserRate float64
 	// DistinctClients gives each user an address of its own, and makes it take one port after the other.
 	DistinctClients bool
-	// FleetAdmission bases the refusal of flows on the demand that all instances report.
-	FleetAdmission bool
 	// withDemand passes the demand to all instances even if it decides nothing.
 	withDemand bool
+	// Speeds are the speeds of the servers of a failure domain, in turn, as multiples of the usual one; empty means that
+	// all are alike. CrossDomainDelay is the one-way delay between failure domains; zero is a default.
+	Speeds           []float64
+	CrossDomainDelay time.Duration
+	// Placement chooses among the ways of package steer to place flows.
+	Placement steer.Placement
+	// ClosesFlows makes clients close a flow that carries one request after its answer.
+	ClosesFlows bool
 	// MaxRetries is how often a client repeats a request that was refused or rejected.
 	MaxRetries int
 	// ExchangeInterval is the interval at which instances exchange the server loads that they observed. LoadsPerExchange
