--- a/review/9/main.go
+++ b/review/9/main.go
@@ -80,7 +80,7 @@
 
 func main() {
 	launch.EndLate(100 * time.Second)
-	status, err := run()
+	status, err := run(launch.Trouble())
 	if err != nil {
 		fmt.Println("the case could not run:", err)
 		status = launch.NotRun
@@ -88,7 +88,7 @@
 	os.Exit(status)
 }
 
-func run() (int, error) {
+func run(trouble bool) (int, error) {
 	folder, err := os.MkdirTemp("", "review-9-")
 	if err != nil {
 		return 0, err
@@ -127,7 +127,7 @@
 		return 0, err
 	}
 	time.Sleep(_warmUp)
-	if launch.Trouble() {
+	if trouble {
 		disrupt(servers, record)
 	}
 	time.Sleep(_rest)
--- a/review/launch/launch.go
+++ b/review/launch/launch.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -185,9 +186,11 @@
 	_ = record.output.Close()
 }
 
-// Trouble reports whether the case runs with its disruption.
+// Trouble parses the flags of a case and reports whether it runs with its disruption.
 func Trouble() bool {
-	return os.Getenv("TROUBLE") != "0"
+	trouble := flag.Bool("trouble", true, "bring the disruption about")
+	flag.Parse()
+	return *trouble
 }
 
 // Pipe passes the bytes of a connection to and from an address until either end closes.
